--- /dev/null
+++ b/addons/fakes/FakeEngine.ts
@@ -0,0 +1,147 @@
+/**
+ * A stand-in for a model engine with the OpenAI chat API, plain and streamed. Its answers name the version
+ * and echo the prompt, so that callers can tell their own answer from another's.
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Announcement } from "../../src/common/upstreams/Upstream.ts";
+import { FakeUpstream, type FakeUpstreamOptions, pause, readText } from "./FakeUpstream.ts";
+
+/** What a fake engine is made of. */
+export interface FakeEngineOptions extends FakeUpstreamOptions {
+    readonly versions: readonly { readonly model: string; readonly version: string; }[];
+    /** Time until the first token, in ms. */
+    readonly firstTokenMs?: number;
+    /** Time between tokens, in ms. */
+    readonly tokenMs?: number;
+    /** Tokens of an answer. */
+    readonly tokens?: number;
+    readonly resumesStreams?: boolean;
+}
+
+interface ChatBody {
+    readonly model: string;
+    readonly messages: readonly { readonly content: string; }[];
+    readonly stream?: boolean;
+}
+
+interface StreamState {
+    readonly body: ChatBody;
+    sent: number;
+}
+
+const DEFAULT_TOKENS = 8;
+
+/** A stand-in for a model engine. */
+export class FakeEngine extends FakeUpstream {
+    /** Breaks the connection of the next streams after this many tokens, once for each unit of `breaks`. */
+    public breakAfterTokens = Infinity;
+    public breaks = 0;
+    /** Answers that are given instead of a sound one, with this status. */
+    public failStatus = 0;
+    /** Answers carry the id of another request. */
+    public crossesAnswers = false;
+    private readonly engine: FakeEngineOptions;
+    private versions: FakeEngineOptions["versions"];
+    private readonly streams = new Map<string, StreamState>();
+
+    public constructor(options: FakeEngineOptions) {
+        super(options);
+        this.engine = options;
+        this.versions = options.versions;
+    }
+
+    /** Changes what the engine serves, as after a loaded or unloaded version. */
+    public serveVersions(versions: FakeEngineOptions["versions"]): void {
+        this.versions = versions;
+    }
+
+    protected offer(): Partial<Announcement> {
+        return { versions: [...this.versions], resumesStreams: this.engine.resumesStreams ?? false };
+    }
+
+    protected async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        if (this.failStatus > 0) {
+            res.writeHead(this.failStatus).end();
+            return;
+        }
+        if (this.crossesAnswers) {
+            res.setHeader("x-request-id", "another-request");
+        }
+        const resumed = /^\/v1\/streams\/(.+)$/.exec(req.url ?? "")?.[1];
+        if (resumed !== undefined) {
+            await this.resume(req, res, resumed);
+            return;
+        }
+        const body = JSON.parse(await readText(req)) as ChatBody;
+        await pause(this.engine.firstTokenMs ?? 0);
+        if (body.stream === true) {
+            await this.stream(res, String(req.headers["x-request-id"]), { body, sent: 0 });
+            return;
+        }
+        await pause((this.engine.tokenMs ?? 0) * this.tokens);
+        res.setHeader("content-type", "application/json");
+        res.end(JSON.stringify({
+            id: req.headers["x-request-id"],
+            object: "chat.completion",
+            model: body.model,
+            choices: [{ index: 0, message: { role: "assistant", content: this.text(body) }, finish_reason: "stop" }],
+            usage: this.usage(body),
+        }));
+    }
+
+    private get tokens(): number {
+        return this.engine.tokens ?? DEFAULT_TOKENS;
+    }
+
+    private text(body: ChatBody): string {
+        return `${body.model} answers: ${body.messages.at(-1)?.content ?? ""}`;
+    }
+
+    private usage(body: ChatBody): object {
+        const prompt = body.messages.reduce((sum, message) => sum + message.content.length, 0);
+        return {
+            prompt_tokens: Math.ceil(prompt / 4),
+            completion_tokens: this.tokens,
+            total_tokens: Math.ceil(prompt / 4) + this.tokens,
+        };
+    }
+
+    private async resume(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+        const state = this.streams.get(id);
+        if (state === undefined) {
+            res.writeHead(404).end();
+            return;
+        }
+        state.sent = Number(req.headers["last-event-id"] ?? 0);
+        await this.stream(res, id, state);
+    }
+
+    private async stream(res: ServerResponse, id: string, state: StreamState): Promise<void> {
+        this.streams.set(id, state);
+        res.writeHead(200, { "content-type": "text/event-stream" });
+        while (state.sent < this.tokens) {
+            if (res.destroyed) {
+                return;
+            }
+            if (this.breaks > 0 && state.sent >= this.breakAfterTokens) {
+                this.breaks--;
+                res.destroy();
+                return;
+            }
+            state.sent++;
+            const content = `${state.sent}:${this.text(state.body)} `;
+            const chunk = {
+                object: "chat.completion.chunk",
+                model: state.body.model,
+                choices: [{ index: 0, delta: { content } }],
+            };
+            res.write(
+                `${this.engine.resumesStreams === true ? `id: ${state.sent}\n` : ""}data: ${JSON.stringify(chunk)}\n\n`,
+            );
+            await pause(this.engine.tokenMs ?? 0);
+        }
+        res.write(`data: ${JSON.stringify({ choices: [], usage: this.usage(state.body) })}\n\n`);
+        res.end("data: [DONE]\n\n");
+        this.streams.delete(id);
+    }
+}
--- /dev/null
+++ b/addons/fakes/MemoryNetwork.ts
@@ -0,0 +1,118 @@
+/**
+ * An in-memory network between instances for tests and benches: calls take time on the injected clock, and
+ * can be cut, lost or delayed by the link function.
+ */
+import { routerError, toRouterError } from "../../src/common/errors/RouterError.ts";
+import { type Disposable, toDisposable } from "../../src/common/lifecycle/Disposable.ts";
+import { type PeerCallName, type PeerReply, type PeerRequest } from "../../src/common/peers/PeerCalls.ts";
+import { type PeerHandler, type PeerNetwork } from "../../src/common/peers/PeerNetwork.ts";
+import { type Clock } from "../../src/common/time/Clock.ts";
+
+/** Delay of one message in ms, or undefined when it is lost. */
+export type Link = (from: string, to: string) => number | undefined;
+
+/** All instances of one deployment. */
+export class MemoryHub {
+    public bytes = 0;
+    public messages = 0;
+    private readonly nodes = new Map<string, MemoryNetwork>();
+    public readonly clock: Clock;
+    public link: Link;
+
+    public constructor(clock: Clock, link: Link) {
+        this.clock = clock;
+        this.link = link;
+    }
+
+    public join(self: string, configured: readonly string[]): MemoryNetwork {
+        const network = new MemoryNetwork(this, self, configured);
+        this.nodes.set(self, network);
+        return network;
+    }
+
+    /** Ends an instance as a crash does: it receives and sends nothing any more. */
+    public remove(network: MemoryNetwork): void {
+        if (this.nodes.get(network.self) === network) {
+            this.nodes.delete(network.self);
+        }
+        network.isDown = true;
+    }
+
+    public node(id: string): MemoryNetwork | undefined {
+        return this.nodes.get(id);
+    }
+}
+
+/** The network as one instance sees it. */
+export class MemoryNetwork implements PeerNetwork {
+    public readonly self: string;
+    public readonly configured: readonly string[];
+    public isDown = false;
+    private readonly hub: MemoryHub;
+    private readonly handlers = new Map<string, PeerHandler<PeerCallName>>();
+
+    public constructor(hub: MemoryHub, self: string, configured: readonly string[]) {
+        this.hub = hub;
+        this.self = self;
+        this.configured = configured.filter(peer => peer !== self);
+    }
+
+    public call<K extends PeerCallName>(
+        peer: string,
+        name: K,
+        req: PeerRequest<K>,
+        timeoutMs: number,
+    ): Promise<PeerReply<K>> {
+        return new Promise((resolve, reject) => {
+            const timer = this.hub.clock.schedule(timeoutMs, () => reject(unreachable(name, peer)));
+            const deliver = (reply: PeerReply<K>): void =>
+                this.send(peer, this.self, () => {
+                    timer.dispose();
+                    resolve(reply);
+                });
+            const refuse = (err: unknown): void =>
+                this.send(peer, this.self, () => {
+                    timer.dispose();
+                    reject(toRouterError(err, { code: "internal", run: "unknown", step: name, peer }));
+                });
+            this.send(this.self, peer, () => {
+                const target = this.hub.node(peer);
+                const copy = structuredClone(req);
+                target?.serve(name, copy, this.self).then(reply => deliver(reply as PeerReply<K>), refuse);
+            });
+        });
+    }
+
+    public handle<K extends PeerCallName>(name: K, handler: PeerHandler<K>): Disposable {
+        this.handlers.set(name, handler as unknown as PeerHandler<PeerCallName>);
+        return toDisposable(() => this.handlers.delete(name));
+    }
+
+    public learnAddress(): void {
+        // Instances in memory are found by id.
+    }
+
+    private async serve(name: PeerCallName, req: PeerRequest<PeerCallName>, from: string): Promise<unknown> {
+        const handler = this.handlers.get(name);
+        if (handler === undefined) {
+            throw unreachable(name, this.self);
+        }
+        return structuredClone(await handler(req, from));
+    }
+
+    private send(from: string, to: string, deliver: () => void): void {
+        const delay = this.hub.link(from, to);
+        if (delay === undefined || this.isDown) {
+            return;
+        }
+        this.hub.messages++;
+        this.hub.clock.schedule(delay, () => {
+            if (this.hub.node(to) !== undefined && !this.isDown) {
+                deliver();
+            }
+        });
+    }
+}
+
+const unreachable = (name: string, peer: string): Error =>
+    routerError(`no reply to ${name} from ${peer}`, { code: "internal", run: "unknown", step: name, peer });
--- /dev/null
+++ b/src/common/billing/BillRecorder.ts
@@ -0,0 +1,180 @@
+/**
+ * Makes bills durable. A bill is a fact that never changes, so two copies on the disks of two control
+ * instances are enough and no agreement is needed; the same bill sent twice is recorded once. When the disks
+ * are out of reach, another instance holds a copy in memory and both keep trying.
+ */
+import { routerError } from "../errors/RouterError.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type Member } from "../membership/Member.ts";
+import { type Membership } from "../membership/Membership.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { rendezvous } from "../routing/Hash.ts";
+import { type Clock, repeat, within } from "../time/Clock.ts";
+import { type Bill } from "./Bill.ts";
+
+/** Disks that hold each bill, where the deployment has as many. */
+const COPIES = 2;
+/** Time in which a disk must confirm, in ms. */
+const DISK_TIMEOUT_MS = 800;
+/** How often bills that are only in memory are tried again, in ms. */
+const RETRY_PERIOD_MS = 1000;
+/** Most bills sent at once. */
+const MAX_BATCH = 500;
+
+/** Durable bills of this instance. */
+export interface BillStore {
+    /** Resolves when the bills are durable. Bills that are recorded already are left out. */
+    append(bills: readonly Bill[]): Promise<void>;
+}
+
+interface Waiting {
+    readonly bill: Bill;
+    resolve(isDurable: boolean): void;
+}
+
+/** Collects bills for one disk and sends them in batches, one batch at a time. */
+class Batcher {
+    private readonly send: (bills: readonly Bill[]) => Promise<boolean>;
+    private waiting: Waiting[] = [];
+    private isSending = false;
+
+    public constructor(send: (bills: readonly Bill[]) => Promise<boolean>) {
+        this.send = send;
+    }
+
+    public add(bill: Bill): Promise<boolean> {
+        return new Promise(resolve => {
+            this.waiting.push({ bill, resolve });
+            void this.flush();
+        });
+    }
+
+    private async flush(): Promise<void> {
+        if (this.isSending) {
+            return;
+        }
+        this.isSending = true;
+        while (this.waiting.length > 0) {
+            const batch = this.waiting.splice(0, MAX_BATCH);
+            const isDurable = await this.send(batch.map(item => item.bill)).catch(() => false);
+            batch.forEach(item => item.resolve(isDurable));
+        }
+        this.isSending = false;
+    }
+}
+
+/** Records the bills of one instance. */
+export class BillRecorder extends DisposableOwner {
+    private readonly clock: Clock;
+    private readonly network: PeerNetwork;
+    private readonly membership: Membership;
+    private readonly store: BillStore | undefined;
+    private readonly batchers = new Map<string, Batcher>();
+    /** Bills that are not known to be on enough disks. */
+    private readonly held = new Map<string, Bill>();
+
+    public constructor(clock: Clock, network: PeerNetwork, membership: Membership, store: BillStore | undefined) {
+        super();
+        this.clock = clock;
+        this.network = network;
+        this.membership = membership;
+        this.store = store;
+        this.register(network.handle("recordBills", req => this.onReceived(req.bills)));
+        this.register(repeat(clock, RETRY_PERIOD_MS, () => void this.retryHeld()));
+    }
+
+    /** Bills that are only in memory. */
+    public get heldCount(): number {
+        return this.held.size;
+    }
+
+    /** Resolves when the bill survives the loss of this instance: on disk, or in a second memory. */
+    public async record(bill: Bill): Promise<void> {
+        this.held.set(bill.id, bill);
+        if (await this.writeToDisks(bill)) {
+            return;
+        }
+        const isHanded = await this.handToAnother(bill);
+        if (!isHanded && this.membership.alive().length > 1) {
+            const details = { code: "internal", run: "ran", step: "record bill" } as const;
+            throw routerError("the bill could not be recorded", details);
+        }
+    }
+
+    /** Tries once more to bring every held bill to disk. */
+    public async retryHeld(): Promise<void> {
+        await Promise.all([...this.held.values()].map(bill => this.writeToDisks(bill)));
+    }
+
+    private async writeToDisks(bill: Bill): Promise<boolean> {
+        const disks = this.disks();
+        const writes = disks.map(disk => this.batcherOf(disk).add(bill));
+        const done = await Promise.all(writes);
+        const needed = Math.min(COPIES, Math.max(1, this.knownDisks()));
+        const isDurable = done.filter(isWritten => isWritten).length >= needed;
+        if (isDurable) {
+            this.held.delete(bill.id);
+        }
+        return isDurable;
+    }
+
+    /** This instance's own disk first, then others, in another failure domain where there is one. */
+    private disks(): string[] {
+        const { self } = this.membership;
+        const controllers = this.membership.alive().filter(hasDisk);
+        const others = controllers.filter(member => member.id !== self.id);
+        const ordered = rendezvous(self.id, others, member => member.id, others.length);
+        const remote = ordered.filter(member => member.domain !== self.domain);
+        const near = ordered.filter(member => member.domain === self.domain);
+        const own = this.store === undefined ? [] : [self.id];
+        return [...own, ...[...remote, ...near].map(member => member.id)].slice(0, COPIES);
+    }
+
+    /** Instances with a disk that have not left for good, reachable or not. */
+    private knownDisks(): number {
+        return this.membership.all().filter(member => hasDisk(member) && member.state !== "left").length;
+    }
+
+    private batcherOf(disk: string): Batcher {
+        let batcher = this.batchers.get(disk);
+        if (batcher === undefined) {
+            batcher = new Batcher(bills => this.send(disk, bills));
+            this.batchers.set(disk, batcher);
+        }
+        return batcher;
+    }
+
+    private async send(disk: string, bills: readonly Bill[]): Promise<boolean> {
+        if (disk === this.network.self) {
+            const done = this.store?.append(bills).then(() => true) ?? Promise.resolve(false);
+            return await within(this.clock, DISK_TIMEOUT_MS, done) ?? false;
+        }
+        const reply = await this.network.call(disk, "recordBills", { bills: [...bills] }, DISK_TIMEOUT_MS);
+        return reply.isDurable;
+    }
+
+    private async handToAnother(bill: Bill): Promise<boolean> {
+        const others = this.membership.alive().filter(member => member.id !== this.network.self);
+        for (const member of rendezvous(bill.id, others, other => other.id, COPIES)) {
+            try {
+                await this.network.call(member.id, "recordBills", { bills: [bill] }, DISK_TIMEOUT_MS);
+                return true;
+            }
+            catch {
+                continue;
+            }
+        }
+        return false;
+    }
+
+    private async onReceived(bills: readonly Bill[]): Promise<{ isDurable: boolean; }> {
+        if (this.store === undefined) {
+            bills.forEach(bill => this.held.set(bill.id, bill));
+            return { isDurable: false };
+        }
+        await this.store.append(bills);
+        return { isDurable: true };
+    }
+}
+
+const hasDisk = (member: Member): boolean => member.roles.includes("control");
--- /dev/null
+++ b/src/common/control/ControlClient.ts
@@ -0,0 +1,104 @@
+/**
+ * Hands commands to the leader of the control log from any instance. Every command is idempotent, so one
+ * whose answer was lost is sent again.
+ */
+import { type RouterError, toRouterError } from "../errors/RouterError.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { type Clock, sleep } from "../time/Clock.ts";
+import { type ControlLog } from "./ControlLog.ts";
+import { type Committed, noMajorityError } from "./ControlTypes.ts";
+import { type Command } from "./LogStore.ts";
+
+/** Time in which a leader must answer a proposal, in ms. */
+const PROPOSE_TIMEOUT_MS = 1500;
+/** Pause between two tries, in ms. */
+const PAUSE_MS = 100;
+
+/** Client of the control log. */
+export class ControlClient {
+    private readonly clock: Clock;
+    private readonly network: PeerNetwork;
+    private readonly local: ControlLog | undefined;
+    /** Instances that may be voters, likely ones first. */
+    private readonly controllers: () => readonly string[];
+    private leader: string | undefined;
+
+    public constructor(
+        clock: Clock,
+        network: PeerNetwork,
+        local: ControlLog | undefined,
+        controllers: () => readonly string[],
+    ) {
+        this.clock = clock;
+        this.network = network;
+        this.local = local;
+        this.controllers = controllers;
+    }
+
+    /**
+     * Resolves when the command is committed. Rejects with `noMajority` after `timeoutMs`; its `run` is
+     * "not_run" only when no try can still take effect.
+     */
+    public async submit(command: Command, timeoutMs: number): Promise<Committed> {
+        const deadline = this.clock.monotonic() + timeoutMs;
+        let mayTakeEffect = false;
+        let last: RouterError | undefined;
+        for (let attempt = 0; this.clock.monotonic() < deadline; attempt++) {
+            const target = this.leader ?? this.candidate(attempt);
+            if (target === undefined) {
+                break;
+            }
+            try {
+                const committed = await this.tryPropose(target, command, deadline);
+                if (committed !== undefined) {
+                    return committed;
+                }
+            }
+            catch (err) {
+                last = toRouterError(err, { code: "noMajority", run: "unknown", step: "propose", peer: target });
+                if (last.code !== "noMajority") {
+                    throw last;
+                }
+                mayTakeEffect ||= last.run !== "not_run";
+                this.leader = undefined;
+            }
+            if (this.leader === undefined) {
+                await sleep(this.clock, PAUSE_MS);
+            }
+        }
+        const reason = last === undefined ? "no control instance is the leader" : last.message;
+        throw noMajorityError(
+            `the control majority is out of reach: ${reason}`,
+            mayTakeEffect ? "unknown" : "not_run",
+            undefined,
+        );
+    }
+
+    private candidate(attempt: number): string | undefined {
+        const known = this.controllers();
+        return known[attempt % Math.max(1, known.length)];
+    }
+
+    private async tryPropose(target: string, command: Command, deadline: number): Promise<Committed | undefined> {
+        if (target === this.network.self) {
+            return this.proposeHere(command);
+        }
+        const timeoutMs = Math.max(1, Math.min(PROPOSE_TIMEOUT_MS, deadline - this.clock.monotonic()));
+        const reply = await this.network.call(target, "propose", { command }, timeoutMs);
+        this.leader = reply.leader === target && !reply.isLeader ? undefined : reply.leader;
+        if (!reply.isLeader || reply.index === undefined) {
+            return undefined;
+        }
+        return { index: reply.index, outcome: reply.outcome ?? {} };
+    }
+
+    private async proposeHere(command: Command): Promise<Committed | undefined> {
+        const status = this.local?.status;
+        if (this.local === undefined || status?.role !== "leader") {
+            this.leader = status?.leader;
+            return undefined;
+        }
+        this.leader = this.network.self;
+        return this.local.propose(command);
+    }
+}
--- /dev/null
+++ b/src/common/control/ControlLog.ts
@@ -0,0 +1,189 @@
+/**
+ * The control log: one sequence of commands that a majority of voters holds durably before any of them
+ * takes effect. A leader that has lost touch with the majority stops accepting within its lease.
+ */
+import { routerError } from "../errors/RouterError.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
+import { repeat } from "../time/Clock.ts";
+import { type Committed, type ControlLogParts, type ControlStatus, noMajorityError } from "./ControlTypes.ts";
+import { Elector } from "./Elector.ts";
+import { VOTERS_COMMAND } from "./EntryLog.ts";
+import { type Command, type LogEntry } from "./LogStore.ts";
+import { Replicator } from "./Replicator.ts";
+import { Voter } from "./Voter.ts";
+
+/** How often the leader's lease is looked at, in ms. */
+const LEASE_CHECK_MS = 50;
+
+/** One voter of the control log. */
+export class ControlLog extends DisposableOwner {
+    private readonly voter: Voter;
+    private readonly replicator: Replicator;
+    private elector: Elector | undefined;
+
+    public constructor(parts: ControlLogParts) {
+        super();
+        this.voter = this.register(new Voter(parts));
+        this.replicator = new Replicator(this.voter);
+        this.register({ dispose: () => this.replicator.wake() });
+    }
+
+    /** This voter has another role, or another leader. */
+    public get onRoleChanged(): Voter["onRoleChanged"] {
+        return this.voter.onRoleChanged;
+    }
+
+    /** Commands up to this index have taken effect here. */
+    public get onApplied(): Voter["onApplied"] {
+        return this.voter.onApplied;
+    }
+
+    public get status(): ControlStatus {
+        return this.voter.status;
+    }
+
+    /** Age of the newest proof that a majority follows the leader whose log is applied here, in ms. */
+    public get contactAgeMs(): number {
+        const { voter } = this;
+        return voter.now - (voter.role === "leader" ? this.replicator.majorityAckedAt() : voter.contactAt);
+    }
+
+    /** Loads what is on disk and takes part from then on. */
+    public async start(): Promise<void> {
+        const { voter } = this;
+        await voter.load();
+        const { network, clock } = voter.parts;
+        const elector = this.register(new Elector(voter, () => this.replicator.lead()));
+        this.elector = elector;
+        this.register(network.handle("requestVote", req => elector.onRequestVote(req)));
+        this.register(network.handle("appendEntries", req => this.onAppendEntries(req)));
+        this.register(network.handle("installSnapshot", req => this.onInstallSnapshot(req)));
+        this.register(network.handle("propose", req => this.onPropose(req)));
+        this.register(repeat(clock, LEASE_CHECK_MS, () => this.checkLease()));
+    }
+
+    /**
+     * Resolves when the command is committed and applied. Rejects with `noMajority`, and `run` says whether
+     * it can still take effect.
+     */
+    public async propose(command: Command): Promise<Committed> {
+        const { voter } = this;
+        if (voter.role !== "leader" || this.replicator.hasLostMajority) {
+            throw noMajorityError("this instance is not the leader", "not_run", voter.leader);
+        }
+        if (command["kind"] === VOTERS_COMMAND) {
+            this.checkVoters(command["voters"] as string[]);
+        }
+        const committed = voter.appendOwn(command);
+        this.replicator.startMissingTasks();
+        this.replicator.replicate();
+        return committed;
+    }
+
+    /** One voter at a time: any two majorities of the old and the new voters then have one in common. */
+    private checkVoters(next: readonly string[]): void {
+        const { log, commitIndex, term } = this.voter;
+        const added = next.filter(other => !log.voters.includes(other));
+        const removed = log.voters.filter(other => !next.includes(other));
+        if (added.length + removed.length !== 1) {
+            throw refusedVoters("voters are added or removed one at a time");
+        }
+        if (log.votersAt(commitIndex) !== log.voters) {
+            throw refusedVoters("another change of voters is under way");
+        }
+        if (log.termAt(commitIndex) !== term) {
+            throw refusedVoters("the leader has just been elected; try again");
+        }
+    }
+
+    private checkLease(): void {
+        const { voter } = this;
+        if (voter.role === "leader" && this.replicator.hasLostMajority) {
+            voter.contactAt = this.replicator.majorityAckedAt();
+            voter.setRole("follower", undefined);
+            this.elector?.resetTimeout();
+            this.replicator.wake();
+        }
+    }
+
+    private async onAppendEntries(req: PeerRequest<"appendEntries">): Promise<PeerReply<"appendEntries">> {
+        const { voter } = this;
+        const arrivedAt = voter.now;
+        return voter.write(async () => {
+            if (req.term < voter.term) {
+                return { term: voter.term, isAccepted: false, lastIndex: voter.log.lastIndex };
+            }
+            await this.follow(req.term, req.leader);
+            const prevTerm = voter.log.termAt(req.prevIndex);
+            if (req.prevIndex > voter.log.lastIndex || (prevTerm !== undefined && prevTerm !== req.prevTerm)) {
+                const lastIndex = Math.min(voter.log.lastIndex, req.prevIndex - 1);
+                return { term: voter.term, isAccepted: false, lastIndex };
+            }
+            await this.takeEntries(req.entries);
+            const lastIndex = req.prevIndex + req.entries.length;
+            if (Math.min(req.commitIndex, lastIndex) > voter.commitIndex) {
+                voter.commit(Math.min(req.commitIndex, lastIndex));
+            }
+            if (voter.commitIndex >= req.commitIndex) {
+                voter.contactAt = Math.max(voter.contactAt, arrivedAt - req.contactAgeMs);
+            }
+            return { term: voter.term, isAccepted: true, lastIndex };
+        });
+    }
+
+    /** Appends what is new, after cutting off entries that another leader wrote and no majority holds. */
+    private async takeEntries(entries: readonly LogEntry[]): Promise<void> {
+        const { voter } = this;
+        const { log } = voter;
+        const first = entries.find(entry =>
+            entry.index > log.snapshot.lastIndex && log.termAt(entry.index) !== entry.term
+        );
+        if (first === undefined) {
+            return;
+        }
+        if (first.index <= log.lastIndex) {
+            await voter.parts.store.truncate(first.index);
+            log.truncate(first.index);
+        }
+        const fresh = entries.filter(entry => entry.index >= first.index);
+        await voter.parts.store.append(fresh);
+        log.append(fresh);
+        voter.durableIndex = log.lastIndex;
+    }
+
+    private async onInstallSnapshot(req: PeerRequest<"installSnapshot">): Promise<PeerReply<"installSnapshot">> {
+        const { voter } = this;
+        return voter.write(async () => {
+            if (req.term >= voter.term) {
+                await this.follow(req.term, req.leader);
+                const { lastIndex, lastTerm, voters, state } = req;
+                if (lastIndex > voter.commitIndex) {
+                    await voter.installSnapshot({ lastIndex, lastTerm, voters, state });
+                }
+            }
+            return { term: voter.term };
+        });
+    }
+
+    private async onPropose(req: PeerRequest<"propose">): Promise<PeerReply<"propose">> {
+        const { voter } = this;
+        if (voter.role !== "leader") {
+            return { isLeader: false, ...(voter.leader === undefined ? {} : { leader: voter.leader }) };
+        }
+        const { index, outcome } = await this.propose(req.command);
+        return { isLeader: true, leader: voter.self, index, outcome };
+    }
+
+    private async follow(term: number, leader: string): Promise<void> {
+        const { voter } = this;
+        if (term > voter.term) {
+            await voter.saveVote(term, undefined);
+        }
+        this.elector?.resetTimeout();
+        voter.setRole("follower", leader);
+    }
+}
+
+const refusedVoters = (message: string): Error =>
+    routerError(message, { code: "malformedRequest", step: "change voters" });
--- /dev/null
+++ b/src/common/control/ControlState.ts
@@ -0,0 +1,61 @@
+/**
+ * What the control log is applied to: the configuration, and the claims of keyed requests.
+ */
+import { claimCommandSchema, claimsSchema, ClaimTable } from "../claims/ClaimTable.ts";
+import { changeSchema } from "../configuration/Change.ts";
+import {
+    applyChange,
+    type Configuration,
+    configurationSchema,
+    emptyConfiguration,
+} from "../configuration/Configuration.ts";
+import { Emitter } from "../lifecycle/Emitter.ts";
+import { type Command, type StateMachine } from "./LogStore.ts";
+
+const claimKinds = new Set(["claim", "finishClaim", "releaseClaim", "abandonClaim"]);
+
+/** State of a control instance. */
+export class ControlState implements StateMachine {
+    private current: Configuration = emptyConfiguration;
+    private readonly claims = new ClaimTable();
+    private readonly changed = new Emitter<Configuration>();
+
+    /** A change of configuration took effect. */
+    public readonly onChanged = this.changed.event;
+
+    public get configuration(): Configuration {
+        return this.current;
+    }
+
+    public get claimCount(): number {
+        return this.claims.size;
+    }
+
+    public apply(command: Command, index: number): Record<string, unknown> {
+        const kind = String(command["kind"]);
+        if (claimKinds.has(kind)) {
+            return this.claims.apply(claimCommandSchema.parse(command));
+        }
+        const change = changeSchema.safeParse(command);
+        if (!change.success) {
+            // Commands of the log itself, and those of a later version of the program, change nothing here.
+            return { kind: "ignored" };
+        }
+        const { configuration, outcome } = applyChange(this.current, change.data, index);
+        if (outcome.kind === "accepted") {
+            this.current = configuration;
+            this.changed.fire(configuration);
+        }
+        return { ...outcome };
+    }
+
+    public snapshot(): Record<string, unknown> {
+        return { configuration: this.current, claims: this.claims.snapshot() };
+    }
+
+    public restore(state: Record<string, unknown>): void {
+        this.current = configurationSchema.parse(state["configuration"] ?? emptyConfiguration);
+        this.claims.restore(claimsSchema.parse(state["claims"] ?? []));
+        this.changed.fire(this.current);
+    }
+}
--- /dev/null
+++ b/src/common/control/EntryLog.ts
@@ -0,0 +1,100 @@
+/**
+ * The part of the control log that is held in memory: the entries after the newest snapshot.
+ */
+import { type LogEntry, type Snapshot } from "./LogStore.ts";
+
+/** Command kind that names the voters from its index on. */
+export const VOTERS_COMMAND = "voters";
+
+/** Entries behind a snapshot. */
+export class EntryLog {
+    private base: Snapshot;
+    private entries: LogEntry[];
+    private currentVoters: readonly string[];
+
+    public constructor(base: Snapshot, entries: readonly LogEntry[]) {
+        this.base = base;
+        this.entries = [...entries];
+        this.currentVoters = this.findVoters();
+    }
+
+    public get snapshot(): Snapshot {
+        return this.base;
+    }
+
+    public get lastIndex(): number {
+        return this.entries.at(-1)?.index ?? this.base.lastIndex;
+    }
+
+    public get lastTerm(): number {
+        return this.entries.at(-1)?.term ?? this.base.lastTerm;
+    }
+
+    /** Number of entries that are held. */
+    public get length(): number {
+        return this.entries.length;
+    }
+
+    /** The voters in force: those of the newest entry that names them, committed or not. */
+    public get voters(): readonly string[] {
+        return this.currentVoters;
+    }
+
+    /** Term of the entry at `index`; undefined when it is not held any more, or not yet. */
+    public termAt(index: number): number | undefined {
+        return index === this.base.lastIndex ? this.base.lastTerm : this.at(index)?.term;
+    }
+
+    public at(index: number): LogEntry | undefined {
+        return this.entries[index - this.firstIndex];
+    }
+
+    /** The held entries from index `first` to index `last`. */
+    public between(first: number, last: number): LogEntry[] {
+        const start = Math.max(0, first - this.firstIndex);
+        return this.entries.slice(start, Math.max(start, last - this.firstIndex + 1));
+    }
+
+    public append(entries: readonly LogEntry[]): void {
+        this.entries.push(...entries);
+        if (entries.some(isVotersEntry)) {
+            this.currentVoters = this.findVoters();
+        }
+    }
+
+    public truncate(index: number): void {
+        this.entries.length = Math.min(this.entries.length, Math.max(0, index - this.firstIndex));
+        this.currentVoters = this.findVoters();
+    }
+
+    /** Replaces everything up to the snapshot, keeping the entries behind it. */
+    public compact(snapshot: Snapshot): void {
+        const rest = this.between(snapshot.lastIndex + 1, this.lastIndex);
+        this.reset(snapshot, rest);
+    }
+
+    /** Replaces the whole log. */
+    public reset(snapshot: Snapshot, entries: readonly LogEntry[]): void {
+        this.base = snapshot;
+        this.entries = [...entries];
+        this.currentVoters = this.findVoters();
+    }
+
+    /** The voters that were in force at `index`. */
+    public votersAt(index: number): readonly string[] {
+        const newest = this.entries.findLast(entry => entry.index <= index && isVotersEntry(entry));
+        return newest === undefined ? this.base.voters : votersOf(newest);
+    }
+
+    private findVoters(): readonly string[] {
+        return this.votersAt(Infinity);
+    }
+
+    private get firstIndex(): number {
+        return this.base.lastIndex + 1;
+    }
+}
+
+const isVotersEntry = (entry: LogEntry): boolean => entry.command["kind"] === VOTERS_COMMAND;
+
+const votersOf = (entry: LogEntry): readonly string[] => entry.command["voters"] as readonly string[];
--- /dev/null
+++ b/src/common/control/LogStore.ts
@@ -0,0 +1,52 @@
+/**
+ * The durable part of a control instance. Every method resolves only when its effect would survive a power
+ * loss.
+ */
+
+/** A command in the control log, as plain data. */
+export type Command = Record<string, unknown>;
+
+/** An entry of the control log. */
+export interface LogEntry {
+    /** Position, from 1 without gaps. */
+    readonly index: number;
+    /** Term of the leader that wrote it. */
+    readonly term: number;
+    readonly command: Command;
+}
+
+/** The state after all entries up to `lastIndex`. */
+export interface Snapshot {
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+    readonly voters: readonly string[];
+    readonly state: Record<string, unknown>;
+}
+
+/** What was found on disk. */
+export interface StoredLog {
+    readonly term: number;
+    readonly votedFor: string | undefined;
+    readonly snapshot: Snapshot | undefined;
+    /** Entries after the snapshot. */
+    readonly entries: readonly LogEntry[];
+}
+
+/** Durable storage of one voter. Calls are made one at a time. */
+export interface LogStore {
+    load(): Promise<StoredLog>;
+    saveVote(term: number, votedFor: string | undefined): Promise<void>;
+    append(entries: readonly LogEntry[]): Promise<void>;
+    /** Drops the entries from `index` on. */
+    truncate(index: number): Promise<void>;
+    /** Replaces everything up to the snapshot's last index; `rest` are the entries that stay behind it. */
+    saveSnapshot(snapshot: Snapshot, rest: readonly LogEntry[]): Promise<void>;
+}
+
+/** What the log is applied to. It must be deterministic. */
+export interface StateMachine {
+    /** Applies a committed command and returns what became of it. */
+    apply(command: Command, index: number): Record<string, unknown>;
+    snapshot(): Record<string, unknown>;
+    restore(state: Record<string, unknown>): void;
+}
--- /dev/null
+++ b/src/common/control/Replicator.ts
@@ -0,0 +1,215 @@
+/**
+ * The leader's work: one task a peer sends it what it lacks, and an entry is committed when a majority
+ * holds it durably.
+ */
+import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
+import { CALL_TIMEOUT_MS, HEARTBEAT_MS, LEADER_LEASE_MS, majorityOf } from "./ControlTypes.ts";
+import { VOTERS_COMMAND } from "./EntryLog.ts";
+import { Signal } from "./Signal.ts";
+import { type Voter } from "./Voter.ts";
+
+/** Most entries in one message. */
+const MAX_BATCH = 200;
+
+interface Progress {
+    nextIndex: number;
+    matchIndex: number;
+    /** Monotonic time at which the newest answered message was sent, in ms. */
+    ackedAt: number;
+}
+
+/** Replication by a leader. */
+export class Replicator {
+    private readonly voter: Voter;
+    private readonly work: Signal;
+    private readonly progress = new Map<string, Progress>();
+
+    public constructor(voter: Voter) {
+        this.voter = voter;
+        this.work = new Signal(voter.parts.clock);
+    }
+
+    /** Begins to lead in the voter's term. */
+    public lead(): void {
+        const { voter } = this;
+        this.progress.clear();
+        voter.setRole("leader", voter.self);
+        for (const peer of this.peers()) {
+            this.startTask(peer, voter.now);
+        }
+        // The term's first entry commits those of earlier terms, which a leader must not count by themselves.
+        const isFirst = voter.log.lastIndex === 0;
+        const command = isFirst ? { kind: VOTERS_COMMAND, voters: [...voter.log.voters] } : { kind: "none" };
+        voter.appendOwn(command).catch(() => undefined);
+        this.replicate();
+    }
+
+    /** Sends what was appended to the log to all peers, and to the own disk. */
+    public replicate(): void {
+        void this.persistOwn();
+        this.work.fire();
+    }
+
+    /** True when no majority has answered for the length of the leader's lease. */
+    public get hasLostMajority(): boolean {
+        return this.voter.now - this.majorityAckedAt() > LEADER_LEASE_MS;
+    }
+
+    /** Monotonic time up to which a majority is known to have followed this leader, in ms. */
+    public majorityAckedAt(): number {
+        const { voter } = this;
+        const times = voter.log.voters.map(other =>
+            other === voter.self ? voter.now : this.progress.get(other)?.ackedAt ?? -Infinity
+        );
+        return times.sort((a, b) => b - a)[majorityOf(times.length) - 1] ?? -Infinity;
+    }
+
+    /** Wakes the tasks, so that they end when this voter does not lead any more. */
+    public wake(): void {
+        this.work.fire();
+    }
+
+    private peers(): string[] {
+        return this.voter.log.voters.filter(other => other !== this.voter.self);
+    }
+
+    private startTask(peer: string, ackedAt: number): void {
+        this.progress.set(peer, { nextIndex: this.voter.log.lastIndex + 1, matchIndex: 0, ackedAt });
+        void this.replicateTo(peer, this.voter.term);
+    }
+
+    /** The task of one peer, for as long as this voter leads in `term` and the peer is a voter. */
+    private async replicateTo(peer: string, term: number): Promise<void> {
+        const progress = this.progress.get(peer);
+        while (progress !== undefined && this.isLeading(term) && this.voter.log.voters.includes(peer)) {
+            const isAnswered = await this.replicateOnce(peer, progress, term);
+            const hasMore = isAnswered && progress.nextIndex <= this.voter.log.lastIndex;
+            if (!hasMore && this.isLeading(term)) {
+                await this.work.wait(HEARTBEAT_MS);
+            }
+        }
+        if (this.progress.get(peer) === progress) {
+            this.progress.delete(peer);
+        }
+    }
+
+    private async replicateOnce(peer: string, progress: Progress, term: number): Promise<boolean> {
+        const sentAt = this.voter.now;
+        try {
+            const isLagging = progress.nextIndex <= this.voter.log.snapshot.lastIndex;
+            const replyTerm = isLagging
+                ? await this.sendSnapshot(peer, progress, term)
+                : await this.sendEntries(peer, progress, term);
+            if (replyTerm > term) {
+                await this.voter.adoptTerm(replyTerm);
+                return false;
+            }
+        }
+        catch {
+            return false;
+        }
+        progress.ackedAt = Math.max(progress.ackedAt, sentAt);
+        if (this.isLeading(term)) {
+            this.advanceCommit();
+        }
+        return true;
+    }
+
+    private async sendSnapshot(peer: string, progress: Progress, term: number): Promise<number> {
+        const { lastIndex, lastTerm, state, voters } = this.voter.log.snapshot;
+        const req = { term, leader: this.voter.self, lastIndex, lastTerm, state, voters: [...voters] };
+        const reply = await this.voter.parts.network.call(peer, "installSnapshot", req, CALL_TIMEOUT_MS);
+        if (reply.term <= term) {
+            progress.nextIndex = lastIndex + 1;
+            progress.matchIndex = Math.max(progress.matchIndex, lastIndex);
+        }
+        return reply.term;
+    }
+
+    private async sendEntries(peer: string, progress: Progress, term: number): Promise<number> {
+        const { voter } = this;
+        const prevIndex = progress.nextIndex - 1;
+        const req: PeerRequest<"appendEntries"> = {
+            term,
+            leader: voter.self,
+            prevIndex,
+            prevTerm: voter.log.termAt(prevIndex) ?? 0,
+            entries: voter.log.between(progress.nextIndex, prevIndex + MAX_BATCH),
+            commitIndex: voter.commitIndex,
+            contactAgeMs: voter.now - this.majorityAckedAt(),
+        };
+        const reply = await voter.parts.network.call(peer, "appendEntries", req, CALL_TIMEOUT_MS);
+        this.noteProgress(progress, reply);
+        return reply.term;
+    }
+
+    private noteProgress(progress: Progress, reply: PeerReply<"appendEntries">): void {
+        if (reply.isAccepted) {
+            progress.matchIndex = Math.max(progress.matchIndex, reply.lastIndex);
+            progress.nextIndex = progress.matchIndex + 1;
+            return;
+        }
+        progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, reply.lastIndex + 1));
+    }
+
+    private isLeading(term: number): boolean {
+        return this.voter.role === "leader" && this.voter.term === term && this.voter.isActive;
+    }
+
+    /** Makes the leader's own entries durable; entries proposed meanwhile share the next write. */
+    private async persistOwn(): Promise<void> {
+        const { voter } = this;
+        try {
+            await voter.write(async () => {
+                const entries = voter.log.between(voter.durableIndex + 1, voter.log.lastIndex);
+                const last = entries.at(-1);
+                if (last !== undefined) {
+                    await voter.parts.store.append(entries);
+                    voter.durableIndex = last.index;
+                }
+            });
+        }
+        catch {
+            return;
+        }
+        this.advanceCommit();
+    }
+
+    private advanceCommit(): void {
+        const { voter } = this;
+        if (voter.role !== "leader") {
+            return;
+        }
+        const matches = voter.log.voters.map(other => this.matchOf(other)).sort((a, b) => b - a);
+        const index = matches[majorityOf(matches.length) - 1] ?? 0;
+        if (index <= voter.commitIndex || voter.log.termAt(index) !== voter.term) {
+            return;
+        }
+        voter.commit(index);
+        this.adjustToVoters();
+        this.work.fire();
+    }
+
+    private matchOf(other: string): number {
+        return other === this.voter.self ? this.voter.durableIndex : this.progress.get(other)?.matchIndex ?? 0;
+    }
+
+    /** Starts the tasks of added voters, and steps down when this voter was removed. */
+    private adjustToVoters(): void {
+        this.startMissingTasks();
+        const { voter } = this;
+        const isRemoved = !voter.isVoter && voter.log.votersAt(voter.commitIndex) === voter.log.voters;
+        if (isRemoved) {
+            voter.setRole("follower", undefined);
+        }
+    }
+
+    /** An added voter counts from its entry on, so it must be caught up before that is committed. */
+    public startMissingTasks(): void {
+        for (const peer of this.peers()) {
+            if (!this.progress.has(peer)) {
+                this.startTask(peer, -Infinity);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/common/control/Signal.ts
@@ -0,0 +1,36 @@
+/**
+ * Lets a task wait until another one has something for it, or until a time has passed.
+ */
+import { type Clock } from "../time/Clock.ts";
+
+/** A condition that tasks wait for. */
+export class Signal {
+    private readonly clock: Clock;
+    private waiting: (() => void)[] = [];
+
+    public constructor(clock: Clock) {
+        this.clock = clock;
+    }
+
+    /** Wakes every task that waits. */
+    public fire(): void {
+        for (const wake of this.waiting.splice(0)) {
+            wake();
+        }
+    }
+
+    /** Resolves at the next `fire`, or after `limitMs`. */
+    public wait(limitMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = this.clock.schedule(limitMs, () => {
+                this.waiting = this.waiting.filter(item => item !== wake);
+                resolve();
+            });
+            const wake = (): void => {
+                timer.dispose();
+                resolve();
+            };
+            this.waiting.push(wake);
+        });
+    }
+}
--- /dev/null
+++ b/src/common/control/Voter.ts
@@ -0,0 +1,274 @@
+/**
+ * The state of one voter: its term, vote and role, its log in memory and on disk, and the commands that it
+ * has applied. Election, replication and following work on it.
+ */
+import { type RouterError } from "../errors/RouterError.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { Emitter } from "../lifecycle/Emitter.ts";
+import {
+    type Committed,
+    type ControlLogParts,
+    type ControlRole,
+    type ControlStatus,
+    noMajorityError,
+} from "./ControlTypes.ts";
+import { EntryLog } from "./EntryLog.ts";
+import { type Command, type LogEntry, type Snapshot } from "./LogStore.ts";
+import { Mutex } from "./Mutex.ts";
+
+/** Entries behind the snapshot after which a new one is taken. */
+const SNAPSHOT_AFTER = 1000;
+
+interface Pending {
+    readonly term: number;
+    resolve(committed: Committed): void;
+    reject(err: RouterError): void;
+}
+
+/** State shared by the tasks of one voter. */
+export class Voter extends DisposableOwner {
+    public readonly parts: ControlLogParts;
+    public readonly self: string;
+    /** Orders all writes to disk. */
+    public readonly disk = new Mutex();
+    public log: EntryLog;
+    public commitIndex = 0;
+    /** Index up to which the own log is on disk. */
+    public durableIndex = 0;
+    /** Monotonic time at which the leader was last heard, in ms. */
+    public heardAt = 0;
+    /** Monotonic time of the newest proof of the majority that a leader passed on, in ms. */
+    public contactAt = -Infinity;
+    private currentRole: ControlRole = "follower";
+    private currentTerm = 0;
+    private currentLeader: string | undefined;
+    private votedFor: string | undefined;
+    private appliedIndex = 0;
+    private isCompacting = false;
+    private failure: string | undefined;
+    private readonly pending = new Map<number, Pending>();
+    private readonly roleChanged = this.register(new Emitter<ControlStatus>());
+    private readonly applied = this.register(new Emitter<number>());
+
+    public readonly onRoleChanged = this.roleChanged.event;
+    public readonly onApplied = this.applied.event;
+
+    public constructor(parts: ControlLogParts) {
+        super();
+        this.parts = parts;
+        this.self = parts.network.self;
+        this.log = new EntryLog(emptySnapshot(parts.initialVoters), []);
+    }
+
+    public get now(): number {
+        return this.parts.clock.monotonic();
+    }
+
+    public get role(): ControlRole {
+        return this.currentRole;
+    }
+
+    public get term(): number {
+        return this.currentTerm;
+    }
+
+    public get leader(): string | undefined {
+        return this.currentLeader;
+    }
+
+    public get vote(): string | undefined {
+        return this.votedFor;
+    }
+
+    public get isVoter(): boolean {
+        return this.log.voters.includes(this.self);
+    }
+
+    /** True while this voter takes part: it was neither stopped nor has its storage failed. */
+    public get isActive(): boolean {
+        return !this.isDisposed && this.failure === undefined;
+    }
+
+    public get status(): ControlStatus {
+        return {
+            role: this.currentRole,
+            term: this.currentTerm,
+            leader: this.currentLeader,
+            voters: this.log.voters,
+            lastIndex: this.log.lastIndex,
+            commitIndex: this.commitIndex,
+            snapshotIndex: this.log.snapshot.lastIndex,
+            failure: this.failure,
+        };
+    }
+
+    /** Loads what is on disk. */
+    public async load(): Promise<void> {
+        const stored = await this.parts.store.load();
+        this.currentTerm = stored.term;
+        this.votedFor = stored.votedFor;
+        this.log = new EntryLog(stored.snapshot ?? emptySnapshot(this.parts.initialVoters), stored.entries);
+        if (stored.snapshot !== undefined) {
+            this.parts.machine.restore(stored.snapshot.state);
+        }
+        this.commitIndex = this.log.snapshot.lastIndex;
+        this.appliedIndex = this.commitIndex;
+        this.durableIndex = this.log.lastIndex;
+        this.heardAt = this.now;
+    }
+
+    /** Runs a task that writes to disk. A storage that fails ends the part of this voter in the agreement. */
+    public async write<T>(task: () => Promise<T>): Promise<T> {
+        return this.disk.run(async () => {
+            if (!this.isActive) {
+                throw noMajorityError(
+                    `this voter has stopped: ${this.failure ?? "the instance is stopping"}`,
+                    "unknown",
+                    undefined,
+                );
+            }
+            try {
+                return await task();
+            }
+            catch (err) {
+                this.fail(err as Error);
+                throw err;
+            }
+        });
+    }
+
+    /** Makes a term and a vote durable. Must be called inside `write`. */
+    public async saveVote(term: number, votedFor: string | undefined): Promise<void> {
+        if (term === this.currentTerm && votedFor === this.votedFor) {
+            return;
+        }
+        await this.parts.store.saveVote(term, votedFor);
+        this.currentTerm = term;
+        this.votedFor = votedFor;
+    }
+
+    /** Follows a later term of which another voter spoke. */
+    public adoptTerm(term: number): Promise<void> {
+        return this.write(async () => {
+            if (term > this.currentTerm) {
+                await this.saveVote(term, undefined);
+                this.setRole("follower", undefined);
+            }
+        });
+    }
+
+    public setRole(role: ControlRole, leader: string | undefined): void {
+        const wasLeader = this.currentRole === "leader";
+        const isSame = this.currentRole === role && this.currentLeader === leader;
+        this.currentRole = role;
+        this.currentLeader = leader;
+        if (wasLeader && role !== "leader") {
+            // Rejected commands stand in this voter's log and may yet be committed by the next leader.
+            this.rejectPending("this instance lost the majority");
+        }
+        if (!isSame) {
+            this.roleChanged.fire(this.status);
+        }
+    }
+
+    /** Puts a command at the end of the log; resolves when it was committed and applied. */
+    public appendOwn(command: Command): Promise<Committed> {
+        const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.currentTerm, command };
+        this.log.append([entry]);
+        return new Promise((resolve, reject) => {
+            this.pending.set(entry.index, { term: entry.term, resolve, reject });
+        });
+    }
+
+    /** Applies what is committed up to `index`. */
+    public commit(index: number): void {
+        this.commitIndex = Math.max(this.commitIndex, index);
+        while (this.appliedIndex < this.commitIndex) {
+            const entry = this.log.at(this.appliedIndex + 1);
+            if (entry === undefined) {
+                break;
+            }
+            this.appliedIndex = entry.index;
+            this.answerPending(entry, this.parts.machine.apply(entry.command, entry.index));
+        }
+        this.applied.fire(this.appliedIndex);
+        void this.compactWhenLong();
+    }
+
+    /** Replaces log and state by a snapshot of the leader. Must be called inside `write`. */
+    public async installSnapshot(snapshot: Snapshot): Promise<void> {
+        await this.parts.store.saveSnapshot(snapshot, []);
+        this.log.reset(snapshot, []);
+        this.parts.machine.restore(snapshot.state);
+        this.commitIndex = snapshot.lastIndex;
+        this.appliedIndex = snapshot.lastIndex;
+        this.durableIndex = snapshot.lastIndex;
+        this.applied.fire(snapshot.lastIndex);
+    }
+
+    public override dispose(): void {
+        super.dispose();
+        this.rejectPending("the instance is stopping");
+    }
+
+    private answerPending(entry: LogEntry, outcome: Record<string, unknown>): void {
+        const pending = this.pending.get(entry.index);
+        if (pending === undefined) {
+            return;
+        }
+        this.pending.delete(entry.index);
+        if (pending.term === entry.term) {
+            pending.resolve({ index: entry.index, outcome });
+        }
+        else {
+            pending.reject(noMajorityError("another leader replaced the command", "not_run", this.currentLeader));
+        }
+    }
+
+    private rejectPending(reason: string): void {
+        const waiting = [...this.pending.values()];
+        this.pending.clear();
+        for (const pending of waiting) {
+            pending.reject(noMajorityError(reason, "unknown", undefined));
+        }
+    }
+
+    private fail(err: Error): void {
+        this.failure ??= err.message;
+        this.setRole("follower", undefined);
+        this.roleChanged.fire(this.status);
+    }
+
+    private async compactWhenLong(): Promise<void> {
+        if (this.isCompacting || this.log.length < SNAPSHOT_AFTER) {
+            return;
+        }
+        this.isCompacting = true;
+        try {
+            await this.write(() => this.compact());
+        }
+        catch {
+            // The failure of the storage was noted by `write`.
+        }
+        finally {
+            this.isCompacting = false;
+        }
+    }
+
+    private async compact(): Promise<void> {
+        if (this.appliedIndex > this.durableIndex) {
+            return;
+        }
+        const lastIndex = this.appliedIndex;
+        const snapshot: Snapshot = {
+            lastIndex,
+            lastTerm: this.log.termAt(lastIndex) ?? 0,
+            voters: this.log.votersAt(lastIndex),
+            state: this.parts.machine.snapshot(),
+        };
+        await this.parts.store.saveSnapshot(snapshot, this.log.between(lastIndex + 1, this.durableIndex));
+        this.log.compact(snapshot);
+    }
+}
+
+const emptySnapshot = (voters: readonly string[]): Snapshot => ({ lastIndex: 0, lastTerm: 0, voters, state: {} });
--- /dev/null
+++ b/src/common/errors/RouterError.ts
@@ -0,0 +1,86 @@
+/**
+ * The errors that callers, operators and other parts see. Each carries a stable code, the step and
+ * the peer at which it arose, and a truthful statement on whether the request ran.
+ */
+import ModernError from "modern-errors";
+
+/** HTTP status of each stable error code. */
+export const ErrorStatus = {
+    malformedRequest: 400,
+    malformedJson: 400,
+    missingDeadline: 400,
+    invalidDeadline: 400,
+    unknownKey: 401,
+    notAllowed: 403,
+    versionNotAllowed: 403,
+    unknownModel: 404,
+    unknownService: 404,
+    notFound: 404,
+    methodNotAllowed: 405,
+    bodyTimeout: 408,
+    sheetConflict: 409,
+    sheetOutdated: 409,
+    keyReused: 409,
+    bodyTooLarge: 413,
+    invalidSheet: 422,
+    tooManyRequests: 429,
+    headersTooLarge: 431,
+    internal: 500,
+    upstreamFailed: 502,
+    answerMismatch: 502,
+    noUpstream: 503,
+    overloaded: 503,
+    stopping: 503,
+    noMajority: 503,
+    deadlineExceeded: 504,
+} as const;
+
+/** Stable code of an error, part of the public interface. */
+export type ErrorCode = keyof typeof ErrorStatus;
+
+/** Whether the request ran on an upstream. `not_run` is only said when that is certain. */
+export type RunState = "not_run" | "unknown" | "ran";
+
+/** What an error carries beside its message. */
+export interface ErrorDetails {
+    readonly code: ErrorCode;
+    readonly run?: RunState;
+    /** The step of the request or task at which the error arose. */
+    readonly step: string;
+    /** The upstream, instance or caller on the other side of that step. */
+    readonly peer?: string;
+    /** When the caller may come back, in ms. */
+    readonly retryAfterMs?: number;
+    readonly cause?: unknown;
+}
+
+const Base = ModernError.subclass("RouterError", {
+    props: {
+        code: "internal" as ErrorCode,
+        run: "not_run" as RunState,
+        step: "",
+        peer: undefined as string | undefined,
+        retryAfterMs: undefined as number | undefined,
+    },
+});
+
+/** An error of this project. */
+export type RouterError = InstanceType<typeof Base>;
+
+/** Creates a `RouterError`. */
+export const routerError = (message: string, details: ErrorDetails): RouterError => {
+    const { cause, run = "not_run", ...rest } = details;
+    return new Base(message, { props: { run, ...rest }, ...(cause === undefined ? {} : { cause }) }) as RouterError;
+};
+
+/** True for errors created by `routerError`. */
+export const isRouterError = (err: unknown): err is RouterError => err instanceof Base;
+
+/** Returns `err` itself, or wraps an unexpected error with the step and peer at which it was met. */
+export const toRouterError = (err: unknown, details: ErrorDetails): RouterError => {
+    if (isRouterError(err)) {
+        return err;
+    }
+    const message = err instanceof Error ? err.message : String(err);
+    return routerError(message, { ...details, cause: err });
+};
--- /dev/null
+++ b/src/common/instance/InstanceCore.ts
@@ -0,0 +1,249 @@
+/**
+ * The parts of an instance that decide, wired together: everything but doors, files and sockets. Processes,
+ * tests and benches build it from their own clock and network.
+ */
+import { BillRecorder, type BillStore } from "../billing/BillRecorder.ts";
+import { ConfigurationFollower } from "../configuration/ConfigurationFollower.ts";
+import { ControlClient } from "../control/ControlClient.ts";
+import { ControlLog } from "../control/ControlLog.ts";
+import { ControlState } from "../control/ControlState.ts";
+import { type LogStore } from "../control/LogStore.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type Member, startOf } from "../membership/Member.ts";
+import { Membership } from "../membership/Membership.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { Dispatcher } from "../routing/Dispatcher.ts";
+import { rendezvous } from "../routing/Hash.ts";
+import { PrefixIndex } from "../routing/PrefixIndex.ts";
+import { UsageShare } from "../routing/UsageShare.ts";
+import { SessionDirectory } from "../sessions/SessionDirectory.ts";
+import { type Pin, SessionPins } from "../sessions/SessionPins.ts";
+import { OwnerTable } from "../slots/OwnerTable.ts";
+import { SlotBook } from "../slots/SlotBook.ts";
+import { SlotLender } from "../slots/SlotLender.ts";
+import { type SlotGrant, type SlotRequest } from "../slots/SlotTypes.ts";
+import { type Clock, within } from "../time/Clock.ts";
+import { HybridClock } from "../timeline/HybridClock.ts";
+import { Timeline } from "../timeline/Timeline.ts";
+import { UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { UpstreamRelay } from "../upstreams/UpstreamRelay.ts";
+
+/** Home instances of a session. */
+const SESSION_HOMES = 2;
+/** Time in which a session's homes must answer, in ms. */
+const PIN_TIMEOUT_MS = 150;
+/** Time in which the owner of an upstream must answer, in ms. */
+const BORROW_TIMEOUT_MS = 400;
+
+/** What an instance core is built from. */
+export interface CoreParts {
+    readonly clock: Clock;
+    readonly network: PeerNetwork;
+    /** This instance's own record. */
+    readonly member: Member;
+    /** Uniform in [0, 1). */
+    readonly random: () => number;
+    /** Extra time to another failure domain, in ms. */
+    readonly otherDomainMs: number;
+    /** Voters of the first start. */
+    readonly initialVoters: readonly string[];
+    /** Durable storage of the control log; set on control instances. */
+    readonly logStore: LogStore | undefined;
+    /** Durable bills; set on control instances. */
+    readonly billStore: BillStore | undefined;
+}
+
+/** The deciding parts of one instance. */
+export class InstanceCore extends DisposableOwner {
+    public readonly timeline: Timeline;
+    public readonly hybrid: HybridClock;
+    public readonly membership: Membership;
+    public readonly follower: ConfigurationFollower;
+    public readonly control: ControlLog | undefined;
+    public readonly controlState: ControlState | undefined;
+    public readonly client: ControlClient;
+    public readonly registry: UpstreamRegistry;
+    public readonly relay: UpstreamRelay;
+    public readonly owners: OwnerTable;
+    public readonly lender: SlotLender;
+    public readonly slots: SlotBook;
+    public readonly prefixes: PrefixIndex;
+    public readonly dispatcher: Dispatcher;
+    public readonly usage: UsageShare;
+    public readonly pins: SessionPins;
+    public readonly sessions: SessionDirectory;
+    public readonly bills: BillRecorder;
+    private readonly parts: CoreParts;
+    private readonly startsSeen = new Map<string, number>();
+
+    public constructor(parts: CoreParts) {
+        super();
+        this.parts = parts;
+        const { clock, network, member } = parts;
+        this.hybrid = new HybridClock(clock);
+        this.timeline = new Timeline(member.id, this.hybrid);
+        this.membership = this.register(new Membership(clock, network, member, parts.random));
+        this.controlState = parts.logStore === undefined ? undefined : new ControlState();
+        this.control = this.createControl();
+        this.client = new ControlClient(clock, network, this.control, () => this.controllers());
+        this.follower = this.register(this.createFollower());
+        this.registry = this.register(new UpstreamRegistry(clock));
+        this.prefixes = new PrefixIndex(clock);
+        const onCache = this.prefixes.apply.bind(this.prefixes);
+        this.relay = this.register(new UpstreamRelay(clock, network, this.membership, this.registry, onCache));
+        this.owners = this.register(new OwnerTable(clock, this.membership, this.registry));
+        this.lender = this.createLender();
+        this.slots = this.register(this.createSlots());
+        this.dispatcher = this.register(this.createDispatcher());
+        const charge = this.dispatcher.charge.bind(this.dispatcher);
+        this.usage = this.register(new UsageShare(clock, network, this.membership, charge));
+        this.pins = new SessionPins(() => clock.monotonic());
+        this.sessions = new SessionDirectory(clock, this.pins, pin => this.askHomes(pin));
+        this.bills = this.register(new BillRecorder(clock, network, this.membership, parts.billStore));
+        this.handleCalls();
+        this.recordEvents();
+    }
+
+    /** Meets the other instances and takes part in the control log. */
+    public async start(): Promise<void> {
+        await this.control?.start();
+        await this.membership.join();
+        await this.follower.refresh();
+    }
+
+    private createControl(): ControlLog | undefined {
+        const { clock, network, logStore, random, initialVoters } = this.parts;
+        if (logStore === undefined || this.controlState === undefined) {
+            return undefined;
+        }
+        const parts = { clock, network, store: logStore, machine: this.controlState, initialVoters, random };
+        return this.register(new ControlLog(parts));
+    }
+
+    private createFollower(): ConfigurationFollower {
+        const { control, controlState } = this;
+        const local = control === undefined || controlState === undefined ? undefined : {
+            get configuration(): ControlState["configuration"] {
+                return controlState.configuration;
+            },
+            get contactAgeMs(): number {
+                return control.contactAgeMs;
+            },
+        };
+        const follower = new ConfigurationFollower(this.parts.clock, this.parts.network, this.membership, local);
+        if (controlState !== undefined) {
+            this.register(controlState.onChanged(configuration => follower.take(configuration)));
+        }
+        return follower;
+    }
+
+    private createLender(): SlotLender {
+        const { clock, member } = this.parts;
+        return new SlotLender(clock, this.registry, upstream => {
+            const ownership = this.owners.ownershipOf(upstream);
+            return ownership?.owner === member.id ? ownership : undefined;
+        });
+    }
+
+    private createSlots(): SlotBook {
+        const { clock } = this.parts;
+        const ownerOf = (upstream: Parameters<OwnerTable["ownershipOf"]>[0]): string | undefined =>
+            this.owners.ownershipOf(upstream)?.owner;
+        return new SlotBook(clock, this.registry, ownerOf, (owner, requests) => this.borrow(owner, requests));
+    }
+
+    private createDispatcher(): Dispatcher {
+        const { clock, member, otherDomainMs } = this.parts;
+        const { registry, slots, prefixes, follower } = this;
+        const table = (): ConfigurationFollower["table"] => follower.table;
+        const dispatcher = new Dispatcher({
+            clock,
+            domain: member.domain,
+            otherDomainMs,
+            registry,
+            slots,
+            prefixes,
+            table,
+        });
+        this.register(follower.onChanged(() => dispatcher.reconsider()));
+        return dispatcher;
+    }
+
+    private async borrow(owner: string, requests: readonly SlotRequest[]): Promise<readonly SlotGrant[]> {
+        const borrower = startOf(this.parts.member);
+        if (owner === this.parts.member.id) {
+            return this.lender.borrow(borrower, requests);
+        }
+        const req = { borrower, requests: [...requests] };
+        const reply = await this.parts.network.call(owner, "borrowSlots", req, BORROW_TIMEOUT_MS);
+        return reply.grants;
+    }
+
+    private async askHomes(pin: Pin): Promise<readonly Pin[]> {
+        const { clock, network, member } = this.parts;
+        const entries = this.membership.alive().filter(other => other.roles.includes("entry"));
+        const homes = rendezvous(pin.key, entries, other => other.id, SESSION_HOMES);
+        const calls = homes
+            .filter(home => home.id !== member.id)
+            .map(home =>
+                network.call(home.id, "pinSession", { pin }, PIN_TIMEOUT_MS).then(reply => reply.pin, () => undefined)
+            );
+        const pins = await within(clock, PIN_TIMEOUT_MS * 2, Promise.all(calls));
+        return (pins ?? []).filter(held => held !== undefined);
+    }
+
+    /** Instances that may be voters: those that say so, then those of the settings. */
+    private controllers(): string[] {
+        const { member, initialVoters } = this.parts;
+        const known = this.membership.alive().filter(other => other.roles.includes("control")).map(other => other.id);
+        const own = member.roles.includes("control") ? [member.id] : [];
+        return [...new Set([...own, ...known, ...initialVoters])];
+    }
+
+    private handleCalls(): void {
+        const { network } = this.parts;
+        this.register(
+            network.handle("borrowSlots", req => ({ grants: this.lender.borrow(req.borrower, req.requests) })),
+        );
+        this.register(network.handle("pinSession", req => ({ pin: this.sessions.receive(req.pin) })));
+        this.register(network.handle("selectEvents", req => ({ events: this.timeline.select(req.filter, req.limit) })));
+        this.register(this.membership.onChanged(change => this.onMemberChanged(change.member)));
+    }
+
+    /** Connections of a process that has ended are closed, and so are the requests that it had in flight. */
+    private onMemberChanged(member: Member): void {
+        const previous = this.startsSeen.get(member.id);
+        if (previous !== undefined && previous !== member.start) {
+            this.lender.forgetBorrower(startOf({ id: member.id, start: previous }));
+        }
+        this.startsSeen.set(member.id, member.start);
+    }
+
+    private recordEvents(): void {
+        const { timeline } = this;
+        this.register(this.membership.onChanged(({ member, previous }) => {
+            if (previous !== member.state) {
+                timeline.record("memberChanged", `instance ${member.id} is ${member.state}`, { domain: member.domain });
+            }
+        }));
+        this.register(this.follower.onChanged(table => {
+            timeline.record("configurationApplied", `revision ${table.revision} is in force here`);
+        }));
+        this.register(this.follower.onContactChanged(isInContact => {
+            const message = isInContact ? "in contact with the control majority" : "cut off from the control majority";
+            timeline.record("contactChanged", message);
+        }));
+        this.register(this.registry.onAdded(({ announcement: { id, domain } }) => {
+            timeline.record("upstreamAdded", `upstream ${id} was announced`, { upstream: id, domain });
+        }));
+        this.register(this.registry.onLost(({ upstream: { announcement: { id, domain } }, reason }) => {
+            timeline.record("upstreamLost", `upstream ${id} is gone: ${reason}`, { upstream: id, domain });
+        }));
+        if (this.control !== undefined) {
+            this.register(this.control.onRoleChanged(status => {
+                const message = `${status.role} in term ${status.term}, leader ${status.leader ?? "unknown"}`;
+                timeline.record("leaderChanged", message);
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/src/common/membership/Membership.ts
@@ -0,0 +1,275 @@
+/**
+ * Which instances are there. Each instance probes one other at a time; one that does not answer is only
+ * suspected when nobody asked for a second opinion reaches it either, and has time to refute that. News
+ * travels with the probes, so the bytes a second do not grow with the number of instances.
+ */
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { Emitter } from "../lifecycle/Emitter.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { type Clock, repeat } from "../time/Clock.ts";
+import { isNewer, type Member, type MemberState } from "./Member.ts";
+
+/** Time between two probes of an instance, in ms. */
+export const PROBE_PERIOD_MS = 400;
+/** Time in which a probe must be answered, in ms. */
+const PROBE_TIMEOUT_MS = 300;
+/** Instances that are asked for a second opinion. */
+const SECOND_OPINIONS = 3;
+/** Time in which a suspected instance can refute, in ms. */
+const SUSPICION_MS = 1500;
+/** How long a dead or departed instance is remembered, in ms. */
+const DEAD_MEMORY_MS = 600_000;
+/** Records that travel with one probe beside the sender's own. */
+const NEWS_PER_PROBE = 12;
+/** Every so many probes, one goes to an instance that is thought dead or was never met. */
+const RECONNECT_EVERY = 3;
+/** Without a word from anybody for this long, an instance holds itself to be isolated, in ms. */
+export const ISOLATION_MS = 1500;
+
+/** Something that drew this instance's attention to another. */
+export interface MemberChange {
+    readonly member: Member;
+    readonly previous: MemberState | undefined;
+}
+
+interface Known {
+    member: Member;
+    /** Monotonic time of the last change of state, in ms. */
+    changedAt: number;
+    /** Probes that have carried the newest record. */
+    timesTold: number;
+}
+
+/** The membership as this instance sees it. */
+export class Membership extends DisposableOwner {
+    private readonly clock: Clock;
+    private readonly network: PeerNetwork;
+    private readonly random: () => number;
+    private readonly known = new Map<string, Known>();
+    private readonly changed = this.register(new Emitter<MemberChange>());
+    private own: Member;
+    private probes = 0;
+    private order: string[] = [];
+    private lastHeardAt: number;
+
+    /** An instance was met, changed its state, or started again. */
+    public readonly onChanged = this.changed.event;
+
+    public constructor(clock: Clock, network: PeerNetwork, own: Member, random: () => number) {
+        super();
+        this.clock = clock;
+        this.network = network;
+        this.own = own;
+        this.random = random;
+        this.lastHeardAt = clock.monotonic();
+        this.register(network.handle("ping", (req, from) => this.onPing(req.members, from)));
+        this.register(network.handle("pingOther", async req => ({ isReachable: await this.isReachable(req.target) })));
+        this.register(repeat(clock, PROBE_PERIOD_MS, () => void this.probeNext()));
+    }
+
+    public get self(): Member {
+        return this.own;
+    }
+
+    /** True when other instances were met but none has been heard of for a while. */
+    public get isIsolated(): boolean {
+        return this.known.size > 0 && this.clock.monotonic() - this.lastHeardAt > ISOLATION_MS;
+    }
+
+    /** All instances that are not known to be gone, this one included. A suspected one still counts. */
+    public alive(): Member[] {
+        const others = [...this.known.values()].map(known => known.member);
+        return [this.own, ...others.filter(member => member.state === "alive" || member.state === "suspect")];
+    }
+
+    /** Every instance that was met, this one included. */
+    public all(): Member[] {
+        return [this.own, ...[...this.known.values()].map(known => known.member)];
+    }
+
+    public get(id: string): Member | undefined {
+        return id === this.own.id ? this.own : this.known.get(id)?.member;
+    }
+
+    /** Publishes the revision of the configuration that is in force here. */
+    public setRevision(revision: number): void {
+        this.own = { ...this.own, revision, seq: this.own.seq + 1 };
+    }
+
+    /** Probes the instances of the settings at once, so that a new instance meets the others without delay. */
+    public async join(): Promise<void> {
+        await Promise.all(this.network.configured.map(peer => this.ping(peer)));
+    }
+
+    /** Tells the others that this instance leaves. */
+    public async leave(): Promise<void> {
+        this.own = { ...this.own, state: "left", seq: this.own.seq + 1 };
+        const others = this.alive().filter(member => member.id !== this.own.id);
+        await Promise.all(others.map(member => this.ping(member.id)));
+    }
+
+    private async probeNext(): Promise<void> {
+        this.forgetOld();
+        const startedAt = this.clock.monotonic();
+        const target = this.nextTarget();
+        if (target === undefined || await this.ping(target) || this.isDisposed) {
+            return;
+        }
+        const known = this.known.get(target);
+        if (known === undefined || known.member.state !== "alive") {
+            return;
+        }
+        const isReachable = await this.askOthers(target);
+        // A process that was paused missed the answers itself, so what it saw says nothing about the other.
+        const wasPaused = this.clock.monotonic() - startedAt > (PROBE_TIMEOUT_MS + PROBE_PERIOD_MS) * 2;
+        if (!isReachable && !wasPaused && !this.isDisposed) {
+            this.suspect(known.member);
+        }
+    }
+
+    private nextTarget(): string | undefined {
+        this.probes++;
+        if (this.probes % RECONNECT_EVERY === 0) {
+            const lost = this.unreachedPeers();
+            if (lost.length > 0) {
+                return lost[Math.floor(this.random() * lost.length)];
+            }
+        }
+        while (this.order.length > 0) {
+            const id = this.order.pop();
+            const state = id === undefined ? undefined : this.known.get(id)?.member.state;
+            if (state === "alive" || state === "suspect") {
+                return id;
+            }
+        }
+        this.order = shuffled(this.alive().slice(1).map(member => member.id), this.random);
+        return this.order.pop();
+    }
+
+    private unreachedPeers(): string[] {
+        const dead = [...this.known.values()].filter(known => known.member.state === "dead");
+        const strangers = this.network.configured.filter(peer => !this.known.has(peer));
+        return [...dead.map(known => known.member.id), ...strangers];
+    }
+
+    private async ping(peer: string): Promise<boolean> {
+        try {
+            const reply = await this.network.call(peer, "ping", { members: this.news(peer) }, PROBE_TIMEOUT_MS);
+            this.hear(reply.members);
+            return true;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    private onPing(members: readonly Member[], from: string): { members: Member[]; } {
+        this.hear(members);
+        return { members: this.news(from) };
+    }
+
+    private hear(members: readonly Member[]): void {
+        this.lastHeardAt = this.clock.monotonic();
+        for (const member of members) {
+            this.merge(member);
+        }
+    }
+
+    private async askOthers(target: string): Promise<boolean> {
+        const others = this.alive().slice(1).filter(member => member.id !== target).map(member => member.id);
+        const asked = shuffled(others, this.random).slice(0, SECOND_OPINIONS);
+        const timeoutMs = PROBE_TIMEOUT_MS * 2;
+        const opinions = await Promise.all(
+            asked.map(peer =>
+                this.network.call(peer, "pingOther", { target }, timeoutMs).then(
+                    reply => reply.isReachable,
+                    () => undefined,
+                )
+            ),
+        );
+        // With others around but none of them answering, the fault may well be on this side.
+        const isUndecided = asked.length > 0 && opinions.every(opinion => opinion === undefined);
+        return isUndecided ? false : opinions.includes(true);
+    }
+
+    private async isReachable(target: string): Promise<boolean> {
+        try {
+            await this.network.call(target, "ping", { members: [this.own] }, PROBE_TIMEOUT_MS);
+            return true;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    private suspect(member: Member): void {
+        this.merge({ ...member, state: "suspect" });
+        this.register(this.clock.schedule(SUSPICION_MS, () => {
+            const now = this.known.get(member.id)?.member;
+            if (now?.state === "suspect" && now.start === member.start && now.seq === member.seq) {
+                this.merge({ ...now, state: "dead" });
+            }
+        }));
+    }
+
+    private merge(news: Member): void {
+        if (news.id === this.own.id) {
+            this.refute(news);
+            return;
+        }
+        const known = this.known.get(news.id);
+        if (known !== undefined && !isNewer(news, known.member)) {
+            return;
+        }
+        const previous = known?.member;
+        this.known.set(news.id, { member: news, changedAt: this.clock.monotonic(), timesTold: 0 });
+        this.network.learnAddress(news.id, news.address);
+        if (previous?.state !== news.state || previous.start !== news.start) {
+            this.changed.fire({ member: news, previous: previous?.state });
+        }
+        else if (previous.revision !== news.revision) {
+            this.changed.fire({ member: news, previous: previous.state });
+        }
+    }
+
+    private refute(news: Member): void {
+        const isAboutThisStart = news.start === this.own.start && this.own.state === "alive";
+        if (isAboutThisStart && news.state !== "alive" && news.seq >= this.own.seq) {
+            this.own = { ...this.own, seq: news.seq + 1 };
+        }
+    }
+
+    /** Own record, the one about `peer`, and the least told others. */
+    private news(peer: string): Member[] {
+        const others = [...this.known.values()]
+            .filter(known => known.member.id !== peer)
+            .sort((a, b) => a.timesTold - b.timesTold)
+            .slice(0, NEWS_PER_PROBE);
+        for (const known of others) {
+            known.timesTold++;
+        }
+        const about = this.known.get(peer)?.member;
+        return [this.own, ...(about === undefined ? [] : [about]), ...others.map(known => known.member)];
+    }
+
+    private forgetOld(): void {
+        const now = this.clock.monotonic();
+        for (const [id, known] of this.known) {
+            const isGone = known.member.state === "dead" || known.member.state === "left";
+            if (isGone && now - known.changedAt > DEAD_MEMORY_MS) {
+                this.known.delete(id);
+            }
+        }
+    }
+}
+
+const shuffled = (items: readonly string[], random: () => number): string[] => {
+    const result = [...items];
+    for (let index = result.length - 1; index > 0; index--) {
+        const other = Math.floor(random() * (index + 1));
+        const item = result[index] ?? "";
+        result[index] = result[other] ?? "";
+        result[other] = item;
+    }
+    return result;
+};
--- /dev/null
+++ b/src/common/peers/PeerCalls.ts
@@ -0,0 +1,115 @@
+/**
+ * The calls between instances. Each has a schema for its request and its reply; both are checked at the
+ * receiving side, since a peer may run another version of the program.
+ */
+import { z } from "zod";
+import { billSchema } from "../billing/Bill.ts";
+import { memberSchema } from "../membership/Member.ts";
+import { pinSchema } from "../sessions/SessionPins.ts";
+import { slotGrantSchema, slotRequestSchema } from "../slots/SlotTypes.ts";
+import { timelineEventSchema } from "../timeline/TimelineEvent.ts";
+import { announcementSchema, cacheEventSchema, leavingSchema, loadReportSchema } from "../upstreams/Upstream.ts";
+
+const empty = z.object({});
+const anyObject = z.record(z.string(), z.unknown());
+
+export const peerCalls = {
+    /** Liveness, with news of the membership both ways. */
+    ping: { req: z.object({ members: z.array(memberSchema) }), reply: z.object({ members: z.array(memberSchema) }) },
+    /** Asks for a second opinion on an instance that did not answer. */
+    pingOther: { req: z.object({ target: z.string() }), reply: z.object({ isReachable: z.boolean() }) },
+    announceUpstreams: {
+        req: z.object({ announcements: z.array(announcementSchema), renewals: z.array(z.number()) }),
+        reply: z.object({ unknown: z.array(z.number()) }),
+    },
+    reportUpstreams: {
+        req: z.object({ loads: z.array(loadReportSchema), caches: z.array(cacheEventSchema) }),
+        reply: empty,
+    },
+    leaveUpstream: { req: leavingSchema, reply: empty },
+    borrowSlots: {
+        req: z.object({ borrower: z.string(), requests: z.array(slotRequestSchema) }),
+        reply: z.object({ grants: z.array(slotGrantSchema) }),
+    },
+    pinSession: { req: z.object({ pin: pinSchema }), reply: z.object({ pin: pinSchema }) },
+    /** Work that accounts had done here since the last message, so that fairness spans instances. */
+    shareUsage: {
+        req: z.object({
+            usages: z.array(
+                z.object({ target: z.string(), account: z.string(), weight: z.number(), cost: z.number() }),
+            ),
+            inFlight: z.array(z.object({ account: z.string(), count: z.number() })),
+        }),
+        reply: empty,
+    },
+    fetchConfiguration: {
+        req: z.object({ revision: z.number() }),
+        reply: z.object({
+            revision: z.number(),
+            /** Age of the newest proof that the control majority held this revision, in ms. */
+            contactAgeMs: z.number(),
+            configuration: anyObject.optional(),
+        }),
+    },
+    requestVote: {
+        req: z.object({
+            term: z.number(),
+            candidate: z.string(),
+            lastIndex: z.number(),
+            lastTerm: z.number(),
+            isPreVote: z.boolean(),
+        }),
+        reply: z.object({ term: z.number(), isGranted: z.boolean() }),
+    },
+    appendEntries: {
+        req: z.object({
+            term: z.number(),
+            leader: z.string(),
+            prevIndex: z.number(),
+            prevTerm: z.number(),
+            entries: z.array(z.object({ index: z.number(), term: z.number(), command: anyObject })),
+            commitIndex: z.number(),
+            contactAgeMs: z.number(),
+        }),
+        reply: z.object({ term: z.number(), isAccepted: z.boolean(), lastIndex: z.number() }),
+    },
+    installSnapshot: {
+        req: z.object({
+            term: z.number(),
+            leader: z.string(),
+            lastIndex: z.number(),
+            lastTerm: z.number(),
+            state: anyObject,
+            voters: z.array(z.string()),
+        }),
+        reply: z.object({ term: z.number() }),
+    },
+    /** Hands a command to the leader. */
+    propose: {
+        req: z.object({ command: anyObject }),
+        reply: z.object({
+            isLeader: z.boolean(),
+            leader: z.string().optional(),
+            index: z.number().optional(),
+            outcome: anyObject.optional(),
+        }),
+    },
+    /** Bills for durable storage. The reply is sent when they are durable. */
+    recordBills: { req: z.object({ bills: z.array(billSchema) }), reply: z.object({ isDurable: z.boolean() }) },
+    selectBills: {
+        req: z.object({ from: z.number(), to: z.number() }),
+        reply: z.object({ bills: z.array(billSchema) }),
+    },
+    selectEvents: {
+        req: z.object({ filter: z.record(z.string(), z.string()), limit: z.number() }),
+        reply: z.object({ events: z.array(timelineEventSchema) }),
+    },
+    /** The history of sheets and the voters, from a control instance. */
+    readState: { req: empty, reply: anyObject },
+} as const;
+
+export type PeerCalls = typeof peerCalls;
+/** Name of a call between instances. */
+export type PeerCallName = keyof PeerCalls;
+export type PeerRequest<K extends PeerCallName> = z.infer<PeerCalls[K]["req"]>;
+export type PeerReply<K extends PeerCallName> = z.infer<PeerCalls[K]["reply"]>;
--- /dev/null
+++ b/src/common/routing/UpstreamChooser.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses among the upstreams of a target by the expected time until the answer begins: the wait for a
+ * place, the distance to another failure domain, and the prompt that the upstream's cache does not hold.
+ */
+import { type Upstream } from "../upstreams/UpstreamRegistry.ts";
+
+/** How long a load report is used. Older ones say nothing about the present. */
+const REPORT_LIFE_MS = 5000;
+/** Assumed time of a request before the first report, in ms. */
+const DEFAULT_REQUEST_MS = 500;
+
+/** What is known of an upstream at the time of the choice. */
+export interface Candidate {
+    readonly upstream: Upstream;
+    /** Requests of this instance that the upstream is running. */
+    readonly inFlight: number;
+    /** The same at the time of the newest load report. */
+    readonly inFlightAtReport: number;
+    /** Requests that the upstream may run at once for all instances, as far as known. */
+    readonly limit: number;
+    /** Mean time of this instance's requests on the upstream in ms, or 0 when unknown. */
+    readonly meanMs: number;
+    /** Fraction of the prompt that the upstream's cache holds. */
+    readonly cachedFraction: number;
+}
+
+/** What the request brings to the choice. */
+export interface Demand {
+    readonly domain: string;
+    /** Extra time to another failure domain, in ms. */
+    readonly otherDomainMs: number;
+    /** Time to process the whole prompt without a cache, in ms. */
+    readonly prefillMs: number;
+    readonly now: number;
+}
+
+/** Expected time until the answer begins, in ms. */
+export const expectedStartMs = (candidate: Candidate, demand: Demand): number => {
+    const distance = candidate.upstream.announcement.domain === demand.domain ? 0 : demand.otherDomainMs;
+    const prefill = demand.prefillMs * (1 - candidate.cachedFraction);
+    return expectedWaitMs(candidate, demand.now) + distance + prefill;
+};
+
+const expectedWaitMs = (candidate: Candidate, now: number): number => {
+    const { upstream, inFlight, inFlightAtReport, limit } = candidate;
+    const isReportUsed = upstream.load !== undefined && now - upstream.loadAt < REPORT_LIFE_MS;
+    const reported = isReportUsed ? (upstream.load?.running ?? 0) + (upstream.load?.queued ?? 0) : 0;
+    const others = Math.max(0, reported - inFlightAtReport);
+    const utilization = (inFlight + others + 1) / Math.max(1, limit);
+    const requestMs = candidate.meanMs || upstream.load?.meanMs || DEFAULT_REQUEST_MS;
+    const overload = Math.max(0, utilization - 1);
+    // Batching slows every request a little as the batch fills, so a fuller upstream starts an answer later.
+    return requestMs * (overload + BATCH_SLOWDOWN * utilization);
+};
+
+/** Part of a request's time by which a full batch delays the start of an answer. */
+const BATCH_SLOWDOWN = 0.2;
+
+/** The candidate with the least expected time; equal ones are taken in turn by `rotation`. */
+export const chooseUpstream = (
+    candidates: readonly Candidate[],
+    demand: Demand,
+    rotation: number,
+): Candidate | undefined => {
+    let best: Candidate | undefined;
+    let bestMs = Infinity;
+    for (let step = 0; step < candidates.length; step++) {
+        const candidate = candidates[(rotation + step) % candidates.length];
+        const ms = candidate === undefined ? Infinity : expectedStartMs(candidate, demand);
+        if (ms < bestMs) {
+            best = candidate;
+            bestMs = ms;
+        }
+    }
+    return best;
+};
--- /dev/null
+++ b/src/common/routing/VersionPolicy.ts
@@ -0,0 +1,101 @@
+/**
+ * The version a request runs on: by the asked model, the account's rights, the session, the shares, and
+ * whether this instance can know of withdrawals.
+ */
+import { type ConfigurationFollower } from "../configuration/ConfigurationFollower.ts";
+import { type Account, type ActiveVersion, type RoutingTable } from "../configuration/RoutingTable.ts";
+import { routerError } from "../errors/RouterError.ts";
+import { type SessionDirectory, type SessionVersion } from "../sessions/SessionDirectory.ts";
+import { allowedVersions, AUTO_MODEL, chooseByShare, parseModelName, settledVersions } from "./VersionChooser.ts";
+
+/** What the policy needs to know of a request. */
+export interface VersionRequest {
+    readonly id: string;
+    readonly table: RoutingTable;
+    readonly account: Account;
+    /** `model`, `model@version`, or `auto`. */
+    readonly model: string;
+    readonly session: string | undefined;
+}
+
+/** What the policy works with. */
+export interface VersionPolicyParts {
+    readonly follower: ConfigurationFollower;
+    readonly sessions: SessionDirectory;
+    readonly hasUpstreams: (target: string) => boolean;
+}
+
+/** Chooses versions. */
+export class VersionPolicy {
+    private readonly parts: VersionPolicyParts;
+
+    public constructor(parts: VersionPolicyParts) {
+        this.parts = parts;
+    }
+
+    /** The version for a request, or a typed refusal. */
+    public async choose(req: VersionRequest): Promise<SessionVersion> {
+        const name = parseModelName(req.model);
+        const allowed = allowedVersions(req.table, req.account, name);
+        const usable = this.usableNow(req.table, allowed);
+        if (name.version !== undefined || req.session === undefined) {
+            return { version: requireOne(this.pick(req, usable, req.id)), movedFrom: undefined };
+        }
+        const session = req.session;
+        return this.parts.sessions.resolve({
+            session,
+            model: name.model,
+            allowed,
+            choose: () => this.pick(req, usable, session),
+            isSettled: version => usable.includes(version),
+        });
+    }
+
+    /** Without contact to control, versions in roll-out may have been withdrawn and get no new work. */
+    private usableNow(table: RoutingTable, allowed: readonly ActiveVersion[]): readonly ActiveVersion[] {
+        if (this.parts.follower.isInContact) {
+            return allowed;
+        }
+        const settled = new Set(settledVersions(table.allActiveVersions()).map(version => version.key));
+        return allowed.filter(version => settled.has(version.key));
+    }
+
+    private pick(req: VersionRequest, usable: readonly ActiveVersion[], key: string): ActiveVersion | undefined {
+        const hasUpstreams = (version: ActiveVersion): boolean => this.parts.hasUpstreams(version.key);
+        if (req.model !== AUTO_MODEL) {
+            return chooseByShare(`${key} ${req.model}`, usable, hasUpstreams);
+        }
+        const served = usable.filter(hasUpstreams);
+        const model = cheapestModel(served.length > 0 ? served : usable, req.account.quality_target);
+        return chooseByShare(`${key} ${model}`, usable.filter(version => version.model === model), hasUpstreams);
+    }
+}
+
+/** The cheapest model whose expected quality meets the target, or else the one of the highest quality. */
+const cheapestModel = (versions: readonly ActiveVersion[], target: number): string => {
+    const models = [...Map.groupBy(versions.filter(version => version.share > 0), version => version.model)]
+        .map(([model, siblings]) => ({
+            model,
+            cost: meanByShare(siblings, version => version.cost),
+            quality: meanByShare(siblings, version => version.quality),
+        }));
+    const good = models.filter(item => item.quality >= target).sort((a, b) => a.cost - b.cost);
+    const best = models.sort((a, b) => b.quality - a.quality)[0];
+    return good[0]?.model ?? best?.model ?? "";
+};
+
+const meanByShare = (versions: readonly ActiveVersion[], valueOf: (version: ActiveVersion) => number): number => {
+    const total = versions.reduce((sum, version) => sum + version.share, 0);
+    return versions.reduce((sum, version) => sum + valueOf(version) * version.share, 0) / total;
+};
+
+const requireOne = (version: ActiveVersion | undefined): ActiveVersion => {
+    if (version === undefined) {
+        const message = "the version is in roll-out, and this instance is cut off from the control majority";
+        throw routerError(message, { code: "noMajority", step: "choose version", retryAfterMs: CUT_OFF_RETRY_MS });
+    }
+    return version;
+};
+
+/** When a caller may come back to an instance that is cut off, in ms. */
+const CUT_OFF_RETRY_MS = 2000;
--- /dev/null
+++ b/src/common/sheet/SheetDiff.ts
@@ -0,0 +1,74 @@
+/**
+ * What a new sheet would change, as one line for each record that is added, removed or altered.
+ */
+import { z } from "zod";
+import { type Sheet } from "./Sheet.ts";
+
+export const sheetChangeSchema = z.object({
+    change: z.enum(["added", "removed", "altered"]),
+    record: z.string(),
+    name: z.string(),
+    /** Altered cells, as `cell: old -> new`. */
+    cells: z.array(z.string()),
+});
+
+/** A difference between two sheets. */
+export type SheetChange = z.infer<typeof sheetChangeSchema>;
+
+type Cells = Readonly<Record<string, unknown>>;
+
+const keyCells = {
+    domains: ["name"],
+    accounts: ["name"],
+    allows: ["account", "model", "version", "service"],
+    versions: ["model", "version"],
+    services: ["name"],
+    calls: ["service", "method", "path"],
+    upstreams: ["domain", "model", "version", "service"],
+    operators: ["name"],
+} as const;
+
+/** Differences from `before` to `after`. */
+export const diffSheets = (before: Sheet | undefined, after: Sheet): SheetChange[] => {
+    const changes: SheetChange[] = [];
+    for (const [group, cells] of Object.entries(keyCells)) {
+        const record = group.replace(/s$/, "");
+        const old = index(before, group as keyof typeof keyCells, cells);
+        const next = index(after, group as keyof typeof keyCells, cells);
+        for (const [name, row] of next) {
+            const previous = old.get(name);
+            if (previous === undefined) {
+                changes.push({ change: "added", record, name, cells: [] });
+                continue;
+            }
+            const altered = alteredCells(previous, row);
+            if (altered.length > 0) {
+                changes.push({ change: "altered", record, name, cells: altered });
+            }
+        }
+        for (const name of old.keys()) {
+            if (!next.has(name)) {
+                changes.push({ change: "removed", record, name, cells: [] });
+            }
+        }
+    }
+    return changes;
+};
+
+const index = (
+    sheet: Sheet | undefined,
+    group: keyof typeof keyCells,
+    cells: readonly string[],
+): Map<string, Cells> => {
+    const rows = (sheet?.[group] ?? []) as readonly Cells[];
+    return new Map(rows.map(row => [cells.map(cell => row[cell]).filter(value => value !== undefined).join(" "), row]));
+};
+
+const alteredCells = (before: Cells, after: Cells): string[] => {
+    const names = new Set([...Object.keys(before), ...Object.keys(after)]);
+    return [...names]
+        .filter(name => before[name] !== after[name])
+        .map(name => name === "key_sha256" ? "key_sha256" : `${name}: ${show(before[name])} -> ${show(after[name])}`);
+};
+
+const show = (value: unknown): string => value === undefined ? "(none)" : String(value);
--- /dev/null
+++ b/src/common/slots/OwnerTable.ts
@@ -0,0 +1,119 @@
+/**
+ * Which instance owns the slots of which upstream: one entry instance of the upstream's failure domain, by
+ * rendezvous hashing over those that are alive. Where two instances could each hold themselves to be the
+ * owner, because they cannot reach each other, each takes only a half.
+ */
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { Emitter } from "../lifecycle/Emitter.ts";
+import { type Member } from "../membership/Member.ts";
+import { type Membership } from "../membership/Membership.ts";
+import { rendezvous } from "../routing/Hash.ts";
+import { type Clock, repeat } from "../time/Clock.ts";
+import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+
+/** How often isolation, which no event reports, is looked at, in ms. */
+const REVIEW_PERIOD_MS = 250;
+
+/** The owner of an upstream, as this instance sees it. */
+export interface Ownership {
+    /** Undefined when no instance may lend. */
+    readonly owner: string | undefined;
+    /** Part of the upstream's limit that the owner may lend. */
+    readonly fraction: OwnedFraction;
+    /** Monotonic time since which this has been so, in ms. */
+    readonly since: number;
+}
+
+/** The whole, or the rounded up or down half where another instance may be lending too. */
+export type OwnedFraction = "whole" | "halfUp" | "halfDown";
+
+/** The part of `limit` that an owner may lend. */
+export const ownedPart = (limit: number, fraction: OwnedFraction): number => {
+    switch (fraction) {
+        case "whole":
+            return limit;
+        case "halfUp":
+            return Math.ceil(limit / 2);
+        case "halfDown":
+            return Math.floor(limit / 2);
+    }
+};
+
+/** Owners of all upstreams. */
+export class OwnerTable extends DisposableOwner {
+    private readonly clock: Clock;
+    private readonly membership: Membership;
+    private readonly registry: UpstreamRegistry;
+    private readonly owners = new Map<string, Ownership>();
+    private readonly changed = this.register(new Emitter<Upstream>());
+    private readonly startedAt: number;
+
+    /** An upstream has another owner. */
+    public readonly onChanged = this.changed.event;
+
+    public constructor(clock: Clock, membership: Membership, registry: UpstreamRegistry) {
+        super();
+        this.clock = clock;
+        this.membership = membership;
+        this.registry = registry;
+        this.startedAt = clock.monotonic();
+        this.register(membership.onChanged(() => this.review()));
+        this.register(registry.onAdded(upstream => this.reviewOne(upstream)));
+        this.register(registry.onLost(loss => this.owners.delete(loss.upstream.announcement.id)));
+        this.register(repeat(clock, REVIEW_PERIOD_MS, () => this.review()));
+    }
+
+    public ownershipOf(upstream: Upstream): Ownership | undefined {
+        return this.owners.get(upstream.announcement.id);
+    }
+
+    private review(): void {
+        for (const upstream of this.registry.all()) {
+            this.reviewOne(upstream);
+        }
+    }
+
+    private reviewOne(upstream: Upstream): void {
+        const { id } = upstream.announcement;
+        const known = this.owners.get(id);
+        const next = this.decide(upstream);
+        if (known !== undefined && known.owner === next.owner && known.fraction === next.fraction) {
+            return;
+        }
+        this.owners.set(id, { ...next, since: this.sinceOf(known) });
+        this.changed.fire(upstream);
+    }
+
+    /** Ownership at first sight counts from the start of the process: no change of owner was seen since. */
+    private sinceOf(known: Ownership | undefined): number {
+        return known === undefined ? this.startedAt : this.clock.monotonic();
+    }
+
+    private decide(upstream: Upstream): Decision {
+        const { id, domain } = upstream.announcement;
+        const { self } = this.membership;
+        const locals = this.membership.all().filter(member => isEntry(member) && member.domain === domain);
+        const alive = locals.filter(isAlive);
+        if (this.membership.isIsolated) {
+            // Others of the domain may be lending; only the domain's sole instance can go on by itself.
+            const isSole = locals.length === 1 && locals[0]?.id === self.id;
+            return { owner: isSole ? self.id : undefined, fraction: "halfDown" };
+        }
+        if (alive.length > 0) {
+            return this.pick(id, alive, "whole");
+        }
+        const others = this.membership.alive().filter(member => isEntry(member));
+        return this.pick(id, others, "halfUp");
+    }
+
+    private pick(upstreamId: string, members: readonly Member[], fraction: OwnedFraction): Decision {
+        const owner = rendezvous(upstreamId, members, member => member.id, 1)[0];
+        return { owner: owner?.id, fraction };
+    }
+}
+
+type Decision = Pick<Ownership, "owner" | "fraction">;
+
+const isEntry = (member: Member): boolean => member.roles.includes("entry") && member.state !== "left";
+
+const isAlive = (member: Member): boolean => member.state === "alive" || member.state === "suspect";
--- /dev/null
+++ b/src/common/slots/SlotLender.ts
@@ -0,0 +1,289 @@
+/**
+ * The owner's side of an upstream's slots. What is lent, together with requests that may still run under
+ * a lost loan, never exceeds what the upstream bears, whoever asks and in whatever order messages arrive.
+ */
+import { hash32 } from "../routing/Hash.ts";
+import { type Clock } from "../time/Clock.ts";
+import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { ownedPart, type Ownership } from "./OwnerTable.ts";
+import { RAMP_STEP_MS, SlotRamp } from "./SlotRamp.ts";
+import {
+    MAX_CLOCK_DRIFT,
+    MAX_REQUEST_MS,
+    OWNER_HANDOVER_MS,
+    REPORT_LAG_MS,
+    SLOT_LEASE_MS,
+    type SlotGrant,
+    type SlotRequest,
+} from "./SlotTypes.ts";
+
+interface Grant {
+    readonly seq: number;
+    readonly granted: number;
+    readonly expiresAt: number;
+}
+
+interface Loan {
+    seq: number;
+    /** Grants that the borrower may be using: the one it has applied and those sent after it. */
+    grants: Grant[];
+    want: number;
+    spare: number;
+    inUse: number;
+    busyUntil: number;
+}
+
+interface Book {
+    readonly startId: string;
+    readonly ramp: SlotRamp;
+    readonly loans: Map<string, Loan>;
+    /** Slots that may be lent in total at present. */
+    lendable: number;
+    lastStepAt: number;
+    completed: number;
+    failed: number;
+    totalMs: number;
+    /** Requests that may run on the upstream although no live borrower accounts for them. */
+    unattributed: number;
+    unattributedSince: number;
+    hasCheckedHandover: boolean;
+}
+
+/** Lends the slots of the upstreams that this instance owns. */
+export class SlotLender {
+    private readonly clock: Clock;
+    private readonly registry: UpstreamRegistry;
+    /** How this instance owns the upstream; undefined when it does not. */
+    private readonly ownershipOf: (upstream: Upstream) => Ownership | undefined;
+    private readonly books = new Map<string, Book>();
+
+    public constructor(
+        clock: Clock,
+        registry: UpstreamRegistry,
+        ownershipOf: (upstream: Upstream) => Ownership | undefined,
+    ) {
+        this.clock = clock;
+        this.registry = registry;
+        this.ownershipOf = ownershipOf;
+    }
+
+    /**
+     * Answers a batch of wants of one borrower, named by its instance and start. Upstreams that this
+     * instance does not own are left out.
+     */
+    public borrow(borrower: string, requests: readonly SlotRequest[]): SlotGrant[] {
+        const grants: SlotGrant[] = [];
+        for (const req of requests) {
+            const upstream = this.registry.get(req.upstream);
+            if (upstream?.announcement.startId !== req.startId) {
+                continue;
+            }
+            const ownership = this.ownershipOf(upstream);
+            if (ownership === undefined) {
+                this.books.delete(req.upstream);
+                continue;
+            }
+            grants.push(this.lend(borrower, req, upstream, ownership));
+        }
+        return grants;
+    }
+
+    /** Requests that the upstream bears now, as far as this owner knows. */
+    public limitOf(upstreamId: string): number | undefined {
+        return this.books.get(upstreamId)?.ramp.limit;
+    }
+
+    /** Drops the loans of a borrower whose process is known to have ended; its connections ended with it. */
+    public forgetBorrower(borrower: string): void {
+        for (const book of this.books.values()) {
+            book.loans.delete(borrower);
+        }
+    }
+
+    private lend(borrower: string, req: SlotRequest, upstream: Upstream, ownership: Ownership): SlotGrant {
+        const now = this.clock.monotonic();
+        const book = this.bookOf(upstream, now);
+        const loan = updateLoan(book, borrower, req, now);
+        const isHandover = now < handoverEnd(upstream, ownership.since);
+        if (isHandover) {
+            book.ramp.adopt(req.knownLimit);
+        }
+        else {
+            this.settle(book, upstream, now);
+        }
+        this.stepRamp(book, upstream, now);
+        book.lendable = Math.max(0, ownedPart(book.ramp.limit, ownership.fraction) - book.unattributed);
+        const granted = isHandover ? 0 : this.allot(book, borrower, req, now);
+        loan.seq++;
+        const expiresAt = now + SLOT_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+        loan.grants.push({ seq: loan.seq, granted, expiresAt });
+        const limit = book.ramp.limit;
+        return { upstream: req.upstream, startId: req.startId, seq: loan.seq, granted, leaseMs: SLOT_LEASE_MS, limit };
+    }
+
+    /** Accounts for lost borrowers, and at the end of a handover for those that never came back. */
+    private settle(book: Book, upstream: Upstream, now: number): void {
+        if (!book.hasCheckedHandover) {
+            book.hasCheckedHandover = true;
+            const running = upstream.load === undefined ? 0 : upstream.load.running + upstream.load.queued;
+            addUnattributed(book, Math.max(0, running - sumInUse(book, now)), now);
+        }
+        for (const [borrower, loan] of book.loans) {
+            if (now >= lastExpiry(loan)) {
+                book.loans.delete(borrower);
+                addUnattributed(book, reserved(loan, 0), now);
+            }
+        }
+        reduceUnattributed(book, upstream, now);
+    }
+
+    private allot(book: Book, borrower: string, req: SlotRequest, now: number): number {
+        const free = Math.max(0, book.lendable - committedToOthers(book, borrower, now));
+        return Math.min(req.want + req.spare, free, fairAllotment(book, borrower, now));
+    }
+
+    private bookOf(upstream: Upstream, now: number): Book {
+        const { id, startId } = upstream.announcement;
+        const known = this.books.get(id);
+        if (known?.startId === startId) {
+            return known;
+        }
+        const book: Book = {
+            startId,
+            ramp: new SlotRamp(upstream.announcement, now),
+            loans: new Map(),
+            lendable: 0,
+            lastStepAt: now,
+            completed: 0,
+            failed: 0,
+            totalMs: 0,
+            unattributed: 0,
+            unattributedSince: now,
+            hasCheckedHandover: false,
+        };
+        this.books.set(id, book);
+        return book;
+    }
+
+    private stepRamp(book: Book, upstream: Upstream, now: number): void {
+        if (upstream.load?.isCold === true && upstream.loadAt > book.lastStepAt) {
+            book.ramp.reset();
+        }
+        if (now - book.lastStepAt < RAMP_STEP_MS) {
+            return;
+        }
+        book.lastStepAt = now;
+        const inUse = sumInUse(book, now);
+        const meanMs = book.completed === 0 ? 0 : book.totalMs / book.completed;
+        book.ramp.step({ inUse, completed: book.completed, failed: book.failed, meanMs }, now);
+        book.completed = 0;
+        book.failed = 0;
+        book.totalMs = 0;
+    }
+}
+
+/** An upstream that started after the ownership was settled has no loans of an earlier owner. */
+const handoverEnd = (upstream: Upstream, since: number): number =>
+    upstream.since > since + OWNER_HANDOVER_MS ? since : since + OWNER_HANDOVER_MS;
+
+const updateLoan = (book: Book, borrower: string, req: SlotRequest, now: number): Loan => {
+    const loan = book.loans.get(borrower)
+        ?? { seq: req.applied, grants: [], want: 0, spare: 0, inUse: 0, busyUntil: 0 };
+    loan.seq = Math.max(loan.seq, req.applied);
+    // A grant sent before the one that the borrower has applied is never applied any more.
+    loan.grants = loan.grants.filter(grant => grant.seq >= req.applied && now < grant.expiresAt);
+    loan.want = req.want;
+    loan.spare = req.spare;
+    loan.inUse = req.inUse;
+    loan.busyUntil = now + req.busyForMs * (1 + MAX_CLOCK_DRIFT);
+    book.loans.set(borrower, loan);
+    book.completed += req.completed;
+    book.failed += req.failed;
+    book.totalMs += req.meanMs * req.completed;
+    return loan;
+};
+
+const lastExpiry = (loan: Loan): number => loan.grants.at(-1)?.expiresAt ?? 0;
+
+/** Slots that a loan can occupy at `now`: in flight, or lent and not expired. With 0, ever since it was lent. */
+const reserved = (loan: Loan, now: number): number =>
+    loan.grants.reduce((most, grant) => now < grant.expiresAt ? Math.max(most, grant.granted) : most, loan.inUse);
+
+const committedToOthers = (book: Book, borrower: string, now: number): number => {
+    let total = 0;
+    for (const [name, loan] of book.loans) {
+        total += name === borrower ? 0 : reserved(loan, now);
+    }
+    return total;
+};
+
+const sumInUse = (book: Book, now: number): number => {
+    let total = 0;
+    for (const loan of book.loans.values()) {
+        total += now < loan.busyUntil ? loan.inUse : 0;
+    }
+    return total;
+};
+
+const addUnattributed = (book: Book, count: number, now: number): void => {
+    if (count > 0) {
+        book.unattributed += count;
+        book.unattributedSince = now;
+    }
+};
+
+/** A load report that describes a later time shows how many of the unattributed requests still run. */
+const reduceUnattributed = (book: Book, upstream: Upstream, now: number): void => {
+    if (book.unattributed === 0) {
+        return;
+    }
+    if (now - book.unattributedSince > MAX_REQUEST_MS) {
+        book.unattributed = 0;
+        return;
+    }
+    if (upstream.load !== undefined && upstream.loadAt > book.unattributedSince + REPORT_LAG_MS) {
+        const running = upstream.load.running + upstream.load.queued;
+        book.unattributed = Math.min(book.unattributed, Math.max(0, running - sumInUse(book, now)));
+    }
+};
+
+/** How often the order among equal borrowers changes, so that the remainder goes round, in ms. */
+const ROTATION_MS = 1000;
+
+/** Max-min fair part of the limit for one borrower: needs first, then spare slots from what is left. */
+const fairAllotment = (book: Book, borrower: string, now: number): number => {
+    const turn = Math.floor(now / ROTATION_MS);
+    const loans = [...book.loans].map(([name, loan]) => ({ name, loan, rank: hash32(`${name}|${turn}`) }));
+    const total = book.lendable;
+    const needs = loans.map(({ name, loan, rank }) => ({ name, rank, amount: loan.want }));
+    const parts = waterFill(total, needs);
+    const rest = total - sum(parts.values());
+    const spares = waterFill(rest, loans.map(({ name, loan, rank }) => ({ name, rank, amount: loan.spare })));
+    return (parts.get(borrower) ?? 0) + (spares.get(borrower) ?? 0);
+};
+
+interface Claim {
+    readonly name: string;
+    readonly rank: number;
+    readonly amount: number;
+}
+
+const waterFill = (total: number, claims: readonly Claim[]): Map<string, number> => {
+    const parts = new Map<string, number>();
+    const ordered = [...claims].sort((a, b) => a.amount - b.amount || a.rank - b.rank);
+    let rest = total;
+    for (const [index, claim] of ordered.entries()) {
+        const part = Math.min(claim.amount, Math.ceil(rest / (ordered.length - index)));
+        parts.set(claim.name, part);
+        rest -= part;
+    }
+    return parts;
+};
+
+const sum = (values: Iterable<number>): number => {
+    let total = 0;
+    for (const value of values) {
+        total += value;
+    }
+    return total;
+};
--- /dev/null
+++ b/src/common/slots/SlotRamp.ts
@@ -0,0 +1,114 @@
+/**
+ * How many requests one upstream bears. A cold upstream starts at its cold capacity; the limit grows by
+ * additive steps, never faster than the upstream said it warms up, and only while it keeps pace.
+ */
+import { type Announcement } from "../upstreams/Upstream.ts";
+
+/** Time between two steps, in ms. */
+export const RAMP_STEP_MS = 500;
+/** A mean request time above this multiple of the usual one means that the upstream does not keep pace. */
+const SLOW_FACTOR = 2;
+/** A mean request time above this multiple means that the upstream has turned cold without saying so. */
+const COLD_FACTOR = 4;
+/** Weight of the newest mean in the usual request time. */
+const USUAL_WEIGHT = 0.1;
+/** The limit grows only while at least this part of it is used. */
+const USED_FRACTION = 0.7;
+/** Fewest completed requests on which a verdict is based. */
+const MIN_COMPLETED = 3;
+
+/** What borrowers saw of an upstream since the last step. */
+export interface RampSample {
+    readonly inUse: number;
+    readonly completed: number;
+    readonly failed: number;
+    /** Mean request time over the completed ones, in ms. */
+    readonly meanMs: number;
+}
+
+/** Limit of one upstream over time. */
+export class SlotRamp {
+    private readonly announcement: Announcement;
+    private current: number;
+    private usualMs = 0;
+    private rampedMs = 0;
+    private lastStepAt: number;
+
+    public constructor(announcement: Announcement, now: number) {
+        this.announcement = announcement;
+        this.current = Math.min(announcement.coldCapacity, announcement.capacity);
+        this.lastStepAt = now;
+    }
+
+    /** Requests that the upstream bears now. */
+    public get limit(): number {
+        return Math.floor(this.current);
+    }
+
+    /** Takes over the limit that an earlier owner had reached for the same start of the upstream. */
+    public adopt(limit: number): void {
+        if (limit <= this.current) {
+            return;
+        }
+        this.current = Math.min(limit, this.announcement.capacity);
+        this.rampedMs = this.announcement.warmMs * this.warmFraction();
+    }
+
+    /** Judges the time since the last step. Returns true when the upstream has turned cold. */
+    public step(sample: RampSample, now: number): boolean {
+        const elapsedMs = now - this.lastStepAt;
+        this.lastStepAt = now;
+        if (this.looksCold(sample)) {
+            this.reset();
+            return true;
+        }
+        if (this.isSlow(sample) || sample.failed > 0) {
+            this.current = Math.max(this.announcement.coldCapacity, this.current / 2);
+            this.rampedMs = this.announcement.warmMs * this.warmFraction();
+            return false;
+        }
+        this.learnUsual(sample);
+        if (sample.inUse >= this.limit * USED_FRACTION) {
+            this.grow(elapsedMs);
+        }
+        return false;
+    }
+
+    /** Starts again from the cold capacity. */
+    public reset(): void {
+        this.current = Math.min(this.announcement.coldCapacity, this.announcement.capacity);
+        this.rampedMs = 0;
+    }
+
+    private grow(elapsedMs: number): void {
+        const { capacity, coldCapacity, warmMs } = this.announcement;
+        this.rampedMs = Math.min(warmMs, this.rampedMs + elapsedMs);
+        const fraction = warmMs === 0 ? 1 : this.rampedMs / warmMs;
+        this.current = Math.min(capacity, coldCapacity + (capacity - coldCapacity) * fraction);
+    }
+
+    private warmFraction(): number {
+        const { capacity, coldCapacity } = this.announcement;
+        return capacity <= coldCapacity ? 1 : (this.current - coldCapacity) / (capacity - coldCapacity);
+    }
+
+    private isSlow(sample: RampSample): boolean {
+        return this.isJudged(sample) && sample.meanMs > this.usualMs * SLOW_FACTOR;
+    }
+
+    private looksCold(sample: RampSample): boolean {
+        return this.isJudged(sample) && sample.meanMs > this.usualMs * COLD_FACTOR;
+    }
+
+    private isJudged(sample: RampSample): boolean {
+        return sample.completed >= MIN_COMPLETED && this.usualMs > 0;
+    }
+
+    private learnUsual(sample: RampSample): void {
+        if (sample.completed < MIN_COMPLETED) {
+            return;
+        }
+        const weight = this.usualMs === 0 ? 1 : USUAL_WEIGHT;
+        this.usualMs += (sample.meanMs - this.usualMs) * weight;
+    }
+}
--- /dev/null
+++ b/src/common/time/Clock.ts
@@ -0,0 +1,58 @@
+/**
+ * Time as a dependency. Nothing in the project reads the wall clock or sets a timer except through a
+ * `Clock`, so that tests and benches can run on an injected one and give the same verdict every time.
+ */
+import { type Disposable } from "../lifecycle/Disposable.ts";
+
+/** Source of time and timers. */
+export interface Clock {
+    /** Wall-clock time in ms since the Unix epoch. It may step. */
+    now(): number;
+    /** Time in ms that never steps backwards; only differences have a meaning. */
+    monotonic(): number;
+    /** Calls `run` once after `delayMs`, unless the result is disposed before. */
+    schedule(delayMs: number, run: () => void): Disposable;
+}
+
+/** Resolves after `delayMs`. */
+export const sleep = (clock: Clock, delayMs: number): Promise<void> =>
+    new Promise(resolve => {
+        clock.schedule(delayMs, resolve);
+    });
+
+/** Calls `run` every `periodMs` until disposed. The next period starts when `run` has returned. */
+export const repeat = (clock: Clock, periodMs: number, run: () => void): Disposable => {
+    let isActive = true;
+    let pending = clock.schedule(periodMs, tick);
+    function tick(): void {
+        if (!isActive) {
+            return;
+        }
+        run();
+        if (isActive) {
+            pending = clock.schedule(periodMs, tick);
+        }
+    }
+    return {
+        dispose: () => {
+            isActive = false;
+            pending.dispose();
+        },
+    };
+};
+
+/** Resolves with the value of `work`, or with `undefined` when `limitMs` passes first. */
+export const within = <T>(clock: Clock, limitMs: number, work: Promise<T>): Promise<T | undefined> =>
+    new Promise((resolve, reject) => {
+        const limit = clock.schedule(limitMs, () => resolve(undefined));
+        work.then(
+            value => {
+                limit.dispose();
+                resolve(value);
+            },
+            err => {
+                limit.dispose();
+                reject(err as Error);
+            },
+        );
+    });
--- /dev/null
+++ b/src/common/timeline/TimelineEvent.ts
@@ -0,0 +1,49 @@
+/**
+ * Events of the time line. Every event has a stamp of a hybrid logical clock, so that the events of all
+ * processes merge into one order that respects cause and effect.
+ */
+import { z } from "zod";
+
+export const eventKinds = [
+    "instanceStarted",
+    "instanceStopping",
+    "memberChanged",
+    "leaderChanged",
+    "configurationApplied",
+    "sheetAnswered",
+    "contactChanged",
+    "upstreamAdded",
+    "upstreamLost",
+    "ownerChanged",
+    "requestArrived",
+    "requestDispatched",
+    "requestRetried",
+    "requestAnswered",
+    "requestRefused",
+    "sessionMoved",
+    "versionJudged",
+    "orderSent",
+    "suspectSeen",
+    "problem",
+] as const;
+
+export const timelineEventSchema = z.object({
+    /** Stamp of the hybrid logical clock. It sorts as text. */
+    stamp: z.string(),
+    instance: z.string(),
+    kind: z.enum(eventKinds),
+    message: z.string(),
+    request: z.string().optional(),
+    session: z.string().optional(),
+    account: z.string().optional(),
+    version: z.string().optional(),
+    upstream: z.string().optional(),
+    domain: z.string().optional(),
+});
+
+/** One event of one process. */
+export type TimelineEvent = z.infer<typeof timelineEventSchema>;
+/** Kind of an event. */
+export type EventKind = TimelineEvent["kind"];
+/** What the source of an event knows of it. */
+export type EventDetails = Omit<TimelineEvent, "stamp" | "instance" | "kind" | "message">;
--- /dev/null
+++ b/src/common/upstreams/UpstreamRelay.ts
@@ -0,0 +1,171 @@
+/**
+ * Passes what upstreams say at one instance on to the others of the region. A first announcement and a
+ * departure travel at once and whole; heartbeats travel as short ids in one batch a second.
+ */
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type Membership } from "../membership/Membership.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { hash32 } from "../routing/Hash.ts";
+import { type Clock, repeat } from "../time/Clock.ts";
+import { type Announcement, type CacheEvent, type Leaving, type LoadReport } from "./Upstream.ts";
+import { type UpstreamRegistry } from "./UpstreamRegistry.ts";
+
+/** How often heartbeats are passed on, in ms. */
+const RENEWAL_PERIOD_MS = 1000;
+/** How often load reports and cache events are passed on, in ms. */
+const REPORT_PERIOD_MS = 500;
+const CALL_TIMEOUT_MS = 500;
+
+/** Spreads the messages of upstreams over the instances. */
+export class UpstreamRelay extends DisposableOwner {
+    private readonly network: PeerNetwork;
+    private readonly membership: Membership;
+    private readonly registry: UpstreamRegistry;
+    private readonly onCache: (event: CacheEvent) => void;
+    private readonly announcements = new Map<string, Announcement>();
+    private readonly byShortId = new Map<number, Announcement>();
+    private readonly renewed = new Set<number>();
+    private readonly loads = new Map<string, LoadReport>();
+    private caches: CacheEvent[] = [];
+
+    public constructor(
+        clock: Clock,
+        network: PeerNetwork,
+        membership: Membership,
+        registry: UpstreamRegistry,
+        onCache: (event: CacheEvent) => void,
+    ) {
+        super();
+        this.network = network;
+        this.membership = membership;
+        this.registry = registry;
+        this.onCache = onCache;
+        this.register(network.handle("announceUpstreams", req => this.onAnnounced(req.announcements, req.renewals)));
+        this.register(network.handle("leaveUpstream", req => this.onLeft(req)));
+        this.register(network.handle("reportUpstreams", req => this.onReported(req.loads, req.caches)));
+        this.register(registry.onLost(loss => this.forget(loss.upstream.announcement)));
+        this.register(repeat(clock, RENEWAL_PERIOD_MS, () => this.passRenewals()));
+        this.register(repeat(clock, REPORT_PERIOD_MS, () => this.passReports()));
+    }
+
+    /** Takes an announcement from the upstream itself. */
+    public announce(announcement: Announcement): boolean {
+        if (!this.registry.announce(announcement)) {
+            return false;
+        }
+        if (this.remember(announcement)) {
+            this.tellAll(peer => this.tell(peer, [announcement], []));
+        }
+        this.renewed.add(shortId(announcement));
+        return true;
+    }
+
+    public leave(leaving: Leaving): void {
+        this.registry.leave(leaving);
+        this.tellAll(peer => this.network.call(peer, "leaveUpstream", leaving, CALL_TIMEOUT_MS));
+    }
+
+    public report(report: LoadReport): void {
+        this.registry.report(report);
+        this.loads.set(report.id, report);
+    }
+
+    public cache(event: CacheEvent): void {
+        this.onCache(event);
+        this.caches.push(event);
+    }
+
+    private onAnnounced(announcements: readonly Announcement[], renewals: readonly number[]): { unknown: number[]; } {
+        for (const announcement of announcements) {
+            if (this.registry.announce(announcement)) {
+                this.remember(announcement);
+            }
+        }
+        const unknown: number[] = [];
+        for (const id of renewals) {
+            const announcement = this.byShortId.get(id);
+            if (announcement === undefined || !this.registry.announce(announcement)) {
+                unknown.push(id);
+            }
+        }
+        return { unknown };
+    }
+
+    private onLeft(leaving: Leaving): Record<string, never> {
+        this.registry.leave(leaving);
+        return {};
+    }
+
+    private onReported(loads: readonly LoadReport[], caches: readonly CacheEvent[]): Record<string, never> {
+        loads.forEach(load => this.registry.report(load));
+        caches.forEach(event => this.onCache(event));
+        return {};
+    }
+
+    /** Returns true when the announcement says something new. */
+    private remember(announcement: Announcement): boolean {
+        const known = this.announcements.get(announcement.id);
+        if (known !== undefined && JSON.stringify(known) === JSON.stringify(announcement)) {
+            return false;
+        }
+        this.forget(known);
+        this.announcements.set(announcement.id, announcement);
+        this.byShortId.set(shortId(announcement), announcement);
+        return true;
+    }
+
+    private forget(announcement: Announcement | undefined): void {
+        if (announcement === undefined) {
+            return;
+        }
+        this.byShortId.delete(shortId(announcement));
+        if (this.announcements.get(announcement.id)?.startId === announcement.startId) {
+            this.announcements.delete(announcement.id);
+        }
+    }
+
+    private passRenewals(): void {
+        const renewals = [...this.renewed];
+        this.renewed.clear();
+        if (renewals.length > 0) {
+            this.tellAll(peer => this.tell(peer, [], renewals));
+        }
+    }
+
+    private passReports(): void {
+        const loads = [...this.loads.values()];
+        const caches = this.caches;
+        this.loads.clear();
+        this.caches = [];
+        if (loads.length + caches.length > 0) {
+            this.tellAll(peer => this.network.call(peer, "reportUpstreams", { loads, caches }, CALL_TIMEOUT_MS));
+        }
+    }
+
+    /** Sends announcements and heartbeats; what the peer does not know follows whole. */
+    private async tell(peer: string, announcements: Announcement[], renewals: number[]): Promise<void> {
+        const reply = await this.network.call(peer, "announceUpstreams", { announcements, renewals }, CALL_TIMEOUT_MS);
+        const missing = reply.unknown.map(id => this.byShortId.get(id)).filter(item => item !== undefined);
+        if (missing.length > 0) {
+            await this.network.call(
+                peer,
+                "announceUpstreams",
+                { announcements: missing, renewals: [] },
+                CALL_TIMEOUT_MS,
+            );
+        }
+    }
+
+    /** A peer that misses a message learns the same from the next heartbeat. */
+    private tellAll(send: (peer: string) => Promise<unknown>): void {
+        const { self } = this.membership;
+        for (const member of this.membership.alive()) {
+            if (member.id !== self.id && member.region === self.region && member.roles.includes("entry")) {
+                send(member.id).catch(() => undefined);
+            }
+        }
+    }
+}
+
+/** Four bytes for one start and offer of an upstream. */
+const shortId = (announcement: Announcement): number => hash32(JSON.stringify(announcement));
--- /dev/null
+++ b/src/node/EntryRole.ts
@@ -0,0 +1,128 @@
+/**
+ * The parts of an instance that serve callers and upstreams, wired together.
+ */
+import { type ServiceBroker } from "moleculer";
+import { type RouterError } from "../common/errors/RouterError.ts";
+import { type InstanceCore } from "../common/instance/InstanceCore.ts";
+import { DisposableOwner } from "../common/lifecycle/Disposable.ts";
+import { VersionPolicy } from "../common/routing/VersionPolicy.ts";
+import { type Clock } from "../common/time/Clock.ts";
+import { UpstreamClient } from "./dispatch/UpstreamClient.ts";
+import { type Attempt, Attempts } from "./entry/Attempts.ts";
+import { CallerDoor } from "./entry/CallerDoor.ts";
+import { ChatHandler } from "./entry/ChatHandler.ts";
+import { type RequestContext } from "./entry/RequestContext.ts";
+import { ServiceHandler } from "./entry/ServiceHandler.ts";
+import { type DoorLimits, HttpDoor } from "./http/HttpDoor.ts";
+import { type Metrics } from "./metrics/Metrics.ts";
+import { type Address, type Settings } from "./settings/SettingsSchema.ts";
+import { UpstreamDoor } from "./upstreams/UpstreamDoor.ts";
+
+const MS_PER_SECOND = 1000;
+
+/** The role entry of one instance. */
+export class EntryRole extends DisposableOwner {
+    public readonly client: UpstreamClient;
+    public readonly callers: CallerDoor;
+    public readonly doors: readonly HttpDoor[];
+    private readonly core: InstanceCore;
+    private readonly clock: Clock;
+    private readonly metrics: () => Metrics;
+
+    public constructor(
+        settings: Settings,
+        core: InstanceCore,
+        clock: Clock,
+        broker: ServiceBroker,
+        callers: Address,
+        upstreams: Address,
+        metrics: () => Metrics,
+    ) {
+        super();
+        this.core = core;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.client = this.register(new UpstreamClient(core.registry));
+        this.callers = this.createCallers(settings);
+        const limits = doorLimits(settings);
+        const upstreamDoor = new UpstreamDoor(core.relay, settings.upstreams.key_sha256);
+        this.doors = [
+            new HttpDoor(broker, "upstreams", upstreams, limits, upstreamDoor.handle),
+            new HttpDoor(broker, "callers", callers, limits, this.callers.handle),
+        ];
+    }
+
+    private createCallers(settings: Settings): CallerDoor {
+        const { core, clock, client } = this;
+        const attempts = new Attempts(clock, core.dispatcher, {
+            onDispatch: (ctx, attempt) => this.onDispatch(ctx, attempt),
+            onFailure: (ctx, attempt, err, isRetried) => this.onFailure(ctx, attempt, err, isRetried),
+        });
+        const policy = new VersionPolicy({
+            follower: core.follower,
+            sessions: core.sessions,
+            hasUpstreams: target => core.dispatcher.hasUpstreams(target),
+        });
+        const maxBodyBytes = settings.limits.max_body_bytes;
+        const recordBill = core.bills.record.bind(core.bills);
+        const chat = new ChatHandler({
+            clock,
+            attempts,
+            client,
+            chooseVersion: (ctx, request) => policy.choose({ ...versionRequest(ctx), model: request.request.model }),
+            recordBill,
+            maxBodyBytes,
+            promptTokenMs: MS_PER_SECOND / settings.routing.prompt_tokens_per_s,
+        });
+        const services = new ServiceHandler({ clock, attempts, client, recordBill, maxBodyBytes });
+        return new CallerDoor({
+            instance: settings.instance.id,
+            clock,
+            limits: {
+                defaultDeadlineMs: settings.limits.default_deadline_ms,
+                requireDeadline: settings.limits.require_deadline,
+            },
+            chat,
+            services,
+            table: () => core.follower.table,
+            timeline: core.timeline,
+            onAnswered: (ctx, err) => this.onAnswered(ctx, err),
+        });
+    }
+
+    private onDispatch(ctx: RequestContext, attempt: Attempt): void {
+        const upstream = attempt.assignment.upstream.announcement.id;
+        this.core.timeline.record("requestDispatched", `sent to ${upstream} as ${attempt.id}`, {
+            request: ctx.id,
+            upstream,
+        });
+    }
+
+    private onFailure(ctx: RequestContext, attempt: Attempt, err: RouterError, isRetried: boolean): void {
+        const upstream = attempt.assignment.upstream.announcement.id;
+        this.metrics().onAttempt(upstream, err.code);
+        if (isRetried) {
+            this.core.timeline.record("requestRetried", err.message, { request: ctx.id, upstream });
+        }
+    }
+
+    private onAnswered(ctx: RequestContext | undefined, err: RouterError | undefined): void {
+        const durationMs = ctx === undefined ? 0 : this.clock.monotonic() - ctx.arrivedAt;
+        this.metrics().onAnswered(ctx?.account.name ?? "(none)", err?.code ?? "ok", durationMs);
+    }
+}
+
+const versionRequest = (ctx: RequestContext): Pick<RequestContext, "id" | "table" | "account" | "session"> => ({
+    id: ctx.id,
+    table: ctx.table,
+    account: ctx.account,
+    session: ctx.session,
+});
+
+/** Bounds of a door from the settings. */
+export const doorLimits = (settings: Settings): DoorLimits => ({
+    maxHeaderBytes: settings.limits.max_header_bytes,
+    maxHeaders: settings.limits.max_headers,
+    maxConnections: settings.limits.max_connections,
+    arrivalTimeoutMs: settings.limits.body_timeout_ms,
+});
--- /dev/null
+++ b/src/node/Instance.ts
@@ -0,0 +1,258 @@
+/**
+ * One instance of the system: its core, its doors, its files and its network, started and stopped in order.
+ */
+import { ServiceBroker } from "moleculer";
+import { readFile } from "node:fs/promises";
+import { routerError } from "../common/errors/RouterError.ts";
+import { InstanceCore } from "../common/instance/InstanceCore.ts";
+import { Lifecycle, type Part } from "../common/lifecycle/Lifecycle.ts";
+import { type Member } from "../common/membership/Member.ts";
+import { readSheet } from "../common/sheet/SheetReader.ts";
+import { type Clock, within } from "../common/time/Clock.ts";
+import { createAdminActions } from "./admin/AdminActions.ts";
+import { AdminDoor, sheetHash } from "./admin/AdminDoor.ts";
+import { doorLimits, EntryRole } from "./EntryRole.ts";
+import { HttpDoor } from "./http/HttpDoor.ts";
+import { type Log } from "./log/Log.ts";
+import { Metrics } from "./metrics/Metrics.ts";
+import { TcpNetwork } from "./peers/TcpNetwork.ts";
+import { type Settings } from "./settings/SettingsSchema.ts";
+import { DataFolder } from "./storage/DataFolder.ts";
+import { FileBillStore } from "./storage/FileBillStore.ts";
+import { FileLogStore } from "./storage/FileLogStore.ts";
+import { SystemClock } from "./time/SystemClock.ts";
+import { VERSION } from "./Version.ts";
+
+/** How often the first sheet is offered until some sheet is in force, in ms. */
+const BOOTSTRAP_PERIOD_MS = 300;
+const BOOTSTRAP_TIMEOUT_MS = 2000;
+
+/** Addresses that the doors listen on. */
+export interface DoorPorts {
+    readonly callers: number | undefined;
+    readonly upstreams: number | undefined;
+    readonly admin: number;
+}
+
+interface Storage {
+    readonly folder: DataFolder;
+    readonly log: FileLogStore;
+    readonly bills: FileBillStore;
+}
+
+/** An instance, from start to stop. */
+export class Instance {
+    private readonly settings: Settings;
+    private readonly log: Log;
+    private readonly clock: Clock = new SystemClock();
+    private readonly lifecycle = new Lifecycle();
+    private readonly broker: ServiceBroker;
+    private readonly network: TcpNetwork;
+    private storage: Storage | undefined;
+    private core: InstanceCore | undefined;
+    private entry: EntryRole | undefined;
+    private adminDoor: HttpDoor | undefined;
+    private isStopping = false;
+    private isStarted = false;
+
+    public constructor(settings: Settings, log: Log) {
+        this.settings = settings;
+        this.log = log;
+        this.broker = new ServiceBroker({
+            nodeID: settings.instance.id,
+            logger: false,
+            metrics: false,
+            tracing: false,
+        });
+        const { id, deployment } = settings.instance;
+        const secret = settings.control.secret ?? "";
+        const credentials = { deployment, id, secret };
+        this.network = new TcpNetwork(this.clock, credentials, settings.doors.peers, settings.peers, log.part("peers"));
+    }
+
+    /** Ports that the doors listen on. */
+    public get ports(): DoorPorts {
+        const [upstreams, callers] = this.entry?.doors ?? [];
+        return { callers: callers?.port, upstreams: upstreams?.port, admin: this.adminDoor?.port ?? 0 };
+    }
+
+    /** Resolves when the doors are open. */
+    public async start(): Promise<void> {
+        this.storage = await this.openStorage();
+        const core = this.createCore();
+        this.core = core;
+        const metrics: Metrics = new Metrics(
+            core,
+            () => this.entry?.callers.inFlight ?? 0,
+            () => this.entry?.client.discardedAnswers ?? 0,
+        );
+        this.entry = this.createEntry(core, metrics);
+        this.adminDoor = this.createAdmin(core, metrics);
+        this.addParts(core);
+        await this.lifecycle.start();
+        this.isStarted = true;
+        core.timeline.record("instanceStarted", `version ${VERSION}`, { domain: this.settings.instance.domain });
+        this.log.info("The instance has started.", { ports: this.ports });
+    }
+
+    /** Planned stop: requests in flight are answered, then everything is released. */
+    public async stop(): Promise<void> {
+        if (this.isStopping) {
+            return;
+        }
+        this.isStopping = true;
+        this.core?.timeline.record("instanceStopping", "planned stop");
+        this.log.info("The instance stops.", { inFlight: this.entry?.callers.inFlight });
+        await this.lifecycle.stop();
+        this.log.info("The instance has stopped.");
+    }
+
+    private async openStorage(): Promise<Storage | undefined> {
+        const { data, deployment, id, roles } = this.settings.instance;
+        if (data === undefined || !roles.includes("control")) {
+            return undefined;
+        }
+        const folder = await DataFolder.take(data, deployment, id);
+        const log = new FileLogStore(await folder.folder("control"), this.log.part("control"));
+        const bills = new FileBillStore(await folder.folder("billing"));
+        return { folder, log, bills };
+    }
+
+    private createCore(): InstanceCore {
+        const { settings } = this;
+        const voters = settings.control.voters;
+        const isAlone = Object.keys(settings.peers).length === 0 && settings.instance.roles.includes("control");
+        return new InstanceCore({
+            clock: this.clock,
+            network: this.network,
+            member: this.ownMember(),
+            random: Math.random,
+            otherDomainMs: settings.routing.other_domain_ms,
+            initialVoters: voters.length === 0 && isAlone ? [settings.instance.id] : voters,
+            logStore: this.storage?.log,
+            billStore: this.storage?.bills,
+        });
+    }
+
+    private ownMember(): Member {
+        const { id, domain, region, roles } = this.settings.instance;
+        const door = this.settings.doors.peers;
+        const address = door === undefined ? "" : `${door.host}:${door.port}`;
+        return { id, start: this.clock.now(), seq: 0, state: "alive", domain, region, roles, address, revision: 0 };
+    }
+
+    private createEntry(core: InstanceCore, metrics: Metrics): EntryRole | undefined {
+        const { callers, upstreams } = this.settings.doors;
+        if (!this.settings.instance.roles.includes("entry") || callers === undefined || upstreams === undefined) {
+            return undefined;
+        }
+        return new EntryRole(this.settings, core, this.clock, this.broker, callers, upstreams, () => metrics);
+    }
+
+    private createAdmin(core: InstanceCore, metrics: Metrics): HttpDoor {
+        const actions = createAdminActions({
+            core,
+            network: this.network,
+            clock: this.clock,
+            log: this.log,
+            selectBills: (from, to) => this.storage?.bills.select(from, to) ?? Promise.resolve([]),
+            inFlight: () => this.entry?.callers.inFlight ?? 0,
+        });
+        type Call = (params: unknown, operator: string) => Promise<object>;
+        const handlers = Object.entries(actions as Record<string, Call>).map(([name, run]) => [
+            name,
+            (ctx: { params: unknown; meta: { operator?: string; }; }) => run(ctx.params, ctx.meta.operator ?? ""),
+        ]);
+        this.broker.createService({ name: "admin", actions: Object.fromEntries(handlers) });
+        const door = new AdminDoor({
+            broker: this.broker,
+            version: VERSION,
+            configuration: () => core.follower.configuration,
+            keyHash: this.settings.admin.key_sha256,
+            notReady: () => this.notReady(core),
+            metrics: () => metrics.text(),
+        });
+        return new HttpDoor(this.broker, "admin", this.settings.doors.admin, doorLimits(this.settings), door.handle);
+    }
+
+    private notReady(core: InstanceCore): string | undefined {
+        if (this.isStopping || !this.isStarted) {
+            return this.isStopping ? "the instance is stopping" : "the instance is starting";
+        }
+        if (core.follower.configuration.sheet === undefined) {
+            return "no sheet is in force yet";
+        }
+        return core.follower.table.isInstanceDrained(this.settings.instance.id) ? "the instance is drained" : undefined;
+    }
+
+    private addParts(core: InstanceCore): void {
+        const { storage, entry, network, broker, adminDoor } = this;
+        this.lifecycle.add(part("storage", none, async () => {
+            await storage?.log.close();
+            await storage?.bills.close();
+            await storage?.folder.release();
+        }));
+        this.lifecycle.add(part("network", () => network.open(), async () => network.dispose()));
+        this.lifecycle.add(part("core", () => this.startCore(core), () => this.stopCore(core)));
+        this.lifecycle.add(part("broker", () => broker.start(), () => broker.stop()));
+        if (adminDoor !== undefined) {
+            this.lifecycle.add(adminDoor);
+        }
+        if (entry !== undefined) {
+            this.lifecycle.add(part("entry", none, async () => entry.dispose()));
+            entry.doors.forEach(door => this.lifecycle.add(door));
+            this.lifecycle.add(part("requests", none, () => this.drainRequests(entry)));
+        }
+    }
+
+    private async startCore(core: InstanceCore): Promise<void> {
+        const { network } = this;
+        network.handle(
+            "selectBills",
+            async req => ({ bills: [...await this.storage?.bills.select(req.from, req.to) ?? []] }),
+        );
+        network.handle("readState", () => {
+            if (core.control === undefined || core.controlState === undefined) {
+                throw routerError("this instance holds no control state", { code: "notFound", step: "read state" });
+            }
+            return { history: [...core.controlState.configuration.history], voters: [...core.control.status.voters] };
+        });
+        await core.start();
+        void this.bootstrapSheet(core);
+    }
+
+    private async stopCore(core: InstanceCore): Promise<void> {
+        await core.bills.retryHeld();
+        await core.membership.leave();
+        core.dispose();
+    }
+
+    /** New requests are refused while those in flight are finished, within the grace time. */
+    private async drainRequests(entry: EntryRole): Promise<void> {
+        await within(this.clock, this.settings.limits.stop_grace_ms, entry.callers.drain());
+    }
+
+    /** Offers the sheet of the settings until some sheet is in force. */
+    private async bootstrapSheet(core: InstanceCore): Promise<void> {
+        const file = this.settings.sheet.bootstrap;
+        if (file === undefined) {
+            return;
+        }
+        const text = await readFile(file, "utf8");
+        const { sheet, faults } = readSheet(text);
+        if (sheet === undefined) {
+            this.log.error("The first sheet has faults.", { file, faults });
+            return;
+        }
+        const command = { kind: "submitSheet", number: sheet.number, text, sha256: sheetHash(text), sheet };
+        while (!this.isStopping && core.follower.configuration.sheet === undefined) {
+            const change = { ...command, by: "settings", reason: "first sheet", at: this.clock.now() };
+            await core.client.submit(change, BOOTSTRAP_TIMEOUT_MS).catch(() => undefined);
+            await new Promise<void>(resolve => this.clock.schedule(BOOTSTRAP_PERIOD_MS, resolve));
+        }
+    }
+}
+
+const none = (): Promise<void> => Promise.resolve();
+
+const part = (name: string, start: () => Promise<void>, stop: () => Promise<void>): Part => ({ name, start, stop });
--- /dev/null
+++ b/src/node/Version.ts
@@ -0,0 +1,2 @@
+/** Version of the program. */
+export const VERSION = "0.1.0";
--- /dev/null
+++ b/src/node/entry/Attempts.ts
@@ -0,0 +1,173 @@
+/**
+ * Runs a request on one upstream after another until one has answered. Only work that may be repeated, or
+ * that provably did not run, is sent a second time; retries stay within the deadline and a budget.
+ */
+import { type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Assignment, type Dispatcher, type Job } from "../../common/routing/Dispatcher.ts";
+import { RetryBudget } from "../../common/routing/RetryBudget.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type Target } from "../../common/upstreams/Upstream.ts";
+import { type RequestContext } from "./RequestContext.ts";
+
+/** Most attempts of one request. */
+const MAX_ATTEMPTS = 3;
+
+/** What `Attempts.run` needs to know of a request. */
+export interface Work {
+    readonly target: Target;
+    /** Expected cost in tokens. */
+    readonly cost: number;
+    readonly prefixes: readonly string[];
+    readonly prefillMs: number;
+    /** Whether it may run more than once. */
+    readonly isIdempotent: boolean;
+    readonly runsAlone?: boolean;
+}
+
+/** An attempt that has a place on an upstream. */
+export interface Attempt {
+    readonly id: string;
+    readonly assignment: Assignment;
+}
+
+/** What an attempt needs of its surroundings. */
+export interface AttemptEvents {
+    /** The attempt is about to be sent. */
+    readonly onDispatch: (ctx: RequestContext, attempt: Attempt) => void;
+    /** The attempt failed, and whether another follows. */
+    readonly onFailure: (ctx: RequestContext, attempt: Attempt, err: RouterError, isRetried: boolean) => void;
+}
+
+/** Runs attempts. */
+export class Attempts {
+    private readonly clock: Clock;
+    private readonly dispatcher: Dispatcher;
+    private readonly events: AttemptEvents;
+    private readonly budgets = new Map<Target, RetryBudget>();
+
+    public constructor(clock: Clock, dispatcher: Dispatcher, events: AttemptEvents) {
+        this.clock = clock;
+        this.dispatcher = dispatcher;
+        this.events = events;
+    }
+
+    /**
+     * Calls `send` for each attempt until it resolves. When it rejects after bytes were passed to the
+     * caller, `hasBegun` returns true and nothing is retried.
+     */
+    public async run<T>(
+        ctx: RequestContext,
+        work: Work,
+        send: (attempt: Attempt) => Promise<T>,
+        hasBegun: () => boolean,
+    ): Promise<T> {
+        const budget = this.budgetOf(work.target);
+        budget.onRequest();
+        const excluded = new Set<string>();
+        // Once an attempt may have run, a later refusal must not claim that the request did not.
+        let mayHaveRun = false;
+        for (let number = 1;; number++) {
+            const assignment = await this.acquire(ctx, work, excluded, mayHaveRun);
+            const attempt: Attempt = { id: `${ctx.id}-${number}`, assignment };
+            try {
+                return await this.attempt(ctx, attempt, send);
+            }
+            catch (err) {
+                const failure = toRouterError(err, failureOf(attempt));
+                mayHaveRun ||= failure.run !== "not_run";
+                const isRepeatable = (work.isIdempotent || !mayHaveRun) && !hasBegun() && !ctx.signal.aborted;
+                const isRetried = isRepeatable && isRetriable(failure) && number < MAX_ATTEMPTS && budget.tryTake();
+                this.events.onFailure(ctx, attempt, failure, isRetried);
+                if (!isRetried) {
+                    throw withTruth(ctx, failure, mayHaveRun);
+                }
+                excluded.add(assignment.upstream.announcement.id);
+            }
+        }
+    }
+
+    private async acquire(
+        ctx: RequestContext,
+        work: Work,
+        excluded: ReadonlySet<string>,
+        mayHaveRun: boolean,
+    ): Promise<Assignment> {
+        const job: Job = {
+            id: ctx.id,
+            target: work.target,
+            account: ctx.account.name,
+            weight: ctx.account.weight,
+            priority: ctx.priority,
+            cost: work.cost,
+            deadline: ctx.deadline,
+            prefixes: work.prefixes,
+            prefillMs: work.prefillMs,
+            excluded,
+            runsAlone: work.runsAlone ?? false,
+        };
+        try {
+            return await this.dispatcher.acquire(job, ctx.signal);
+        }
+        catch (err) {
+            throw withTruth(ctx, toRouterError(err, { code: "internal", step: "find a place" }), mayHaveRun);
+        }
+    }
+
+    private async attempt<T>(
+        ctx: RequestContext,
+        attempt: Attempt,
+        send: (attempt: Attempt) => Promise<T>,
+    ): Promise<T> {
+        const startedAt = this.clock.monotonic();
+        let isUpstreamFault = false;
+        try {
+            this.events.onDispatch(ctx, attempt);
+            return await send(attempt);
+        }
+        catch (err) {
+            isUpstreamFault = !ctx.signal.aborted;
+            throw err;
+        }
+        finally {
+            attempt.assignment.release({ durationMs: this.clock.monotonic() - startedAt, isUpstreamFault });
+        }
+    }
+
+    private budgetOf(target: Target): RetryBudget {
+        let budget = this.budgets.get(target);
+        if (budget === undefined) {
+            budget = new RetryBudget();
+            this.budgets.set(target, budget);
+        }
+        return budget;
+    }
+}
+
+const failureOf = (attempt: Attempt): { code: "upstreamFailed"; run: "unknown"; step: string; peer: string; } => ({
+    code: "upstreamFailed",
+    run: "unknown",
+    step: "relay answer",
+    peer: attempt.assignment.upstream.announcement.id,
+});
+
+const isRetriable = (err: RouterError): boolean =>
+    err.code === "upstreamFailed" || err.code === "answerMismatch" || err.code === "overloaded";
+
+/** Says "deadline exceeded" for what the deadline ended, and never "not run" for what may have run. */
+const withTruth = (ctx: RequestContext, err: RouterError, mayHaveRun: boolean): RouterError => {
+    const run = mayHaveRun && err.run === "not_run" ? "unknown" : err.run;
+    if (!ctx.isDeadlinePassed) {
+        return run === err.run ? err : routerError(err.message, { ...pick(err), run, cause: err });
+    }
+    const message = "the deadline passed before the answer was complete";
+    return routerError(message, { ...pick(err), code: "deadlineExceeded", run, cause: err });
+};
+
+const pick = (
+    err: RouterError,
+): { code: RouterError["code"]; step: string; peer?: string; retryAfterMs?: number; } => ({
+    code: err.code,
+    step: err.step,
+    ...(err.peer === undefined ? {} : { peer: err.peer }),
+    ...(err.retryAfterMs === undefined ? {} : { retryAfterMs: err.retryAfterMs }),
+});
--- /dev/null
+++ b/src/node/entry/CallerDoor.ts
@@ -0,0 +1,152 @@
+/**
+ * What callers reach: chat completions, the list of models, and plain services. Every request gets exactly
+ * one answer, and every refusal says truthfully whether it ran.
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type RoutingTable } from "../../common/configuration/RoutingTable.ts";
+import { type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type Timeline } from "../../common/timeline/Timeline.ts";
+import { sendJson, sendProblem } from "../http/HttpBody.ts";
+import { type ChatHandler } from "./ChatHandler.ts";
+import { RequestContext, type RequestLimits } from "./RequestContext.ts";
+import { type ServiceHandler, SERVICES_PATH } from "./ServiceHandler.ts";
+
+const CHAT_PATH = "/v1/chat/completions";
+const MODELS_PATH = "/v1/models";
+/** When a caller may come back to an instance that is stopping, in ms. */
+const STOPPING_RETRY_MS = 1000;
+const RADIX_36 = 36;
+
+/** What the door works with. */
+export interface CallerParts {
+    readonly instance: string;
+    readonly clock: Clock;
+    readonly limits: RequestLimits;
+    readonly chat: ChatHandler;
+    readonly services: ServiceHandler;
+    readonly table: () => RoutingTable;
+    readonly timeline: Timeline;
+    /** Called with the outcome of every request. */
+    readonly onAnswered: (ctx: RequestContext | undefined, err: RouterError | undefined) => void;
+}
+
+/** Routes the requests of callers to their handlers. */
+export class CallerDoor {
+    private readonly parts: CallerParts;
+    /** Distinguishes the request ids of this start of the process from those of earlier ones. */
+    private readonly start: string;
+    private count = 0;
+    private active = 0;
+    private stopping = false;
+    private readonly idle: (() => void)[] = [];
+
+    public constructor(parts: CallerParts) {
+        this.parts = parts;
+        this.start = Math.floor(parts.clock.now()).toString(RADIX_36);
+    }
+
+    /** Requests that have not been answered to their end. */
+    public get inFlight(): number {
+        return this.active;
+    }
+
+    public readonly handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        const id = `${this.parts.instance}-${this.start}-${(this.count++).toString(RADIX_36)}`;
+        let ctx: RequestContext | undefined;
+        this.active++;
+        try {
+            this.refuseWhileStopping();
+            ctx = new RequestContext(id, req, res, this.parts.clock, this.parts.table(), this.parts.limits);
+            this.recordArrival(ctx, req);
+            await this.answer(ctx, req, res);
+            this.onAnswered(ctx);
+        }
+        catch (err) {
+            const failure = toRouterError(err, { code: "internal", run: "unknown", step: "answer request" });
+            this.onRefused(ctx, id, failure);
+            sendProblem(req, res, failure, id);
+        }
+        finally {
+            ctx?.dispose();
+            this.onEnded();
+        }
+    };
+
+    /** Refuses new requests and resolves when those in flight have been answered. */
+    public drain(): Promise<void> {
+        this.stopping = true;
+        if (this.active === 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => this.idle.push(resolve));
+    }
+
+    private answer(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const path = (req.url ?? "").split("?")[0] ?? "";
+        if (path.startsWith(SERVICES_PATH)) {
+            return this.parts.services.handle(ctx, req, res);
+        }
+        if (path === CHAT_PATH) {
+            requireMethod(req, "POST");
+            return this.parts.chat.handle(ctx, req, res);
+        }
+        if (path === MODELS_PATH) {
+            requireMethod(req, "GET");
+            sendJson(res, 200, listModels(ctx));
+            return Promise.resolve();
+        }
+        throw routerError(`no resource at "${path.slice(0, 100)}"`, { code: "notFound", step: "read request" });
+    }
+
+    private refuseWhileStopping(): void {
+        if (this.stopping) {
+            const details = { code: "stopping", step: "accept request", retryAfterMs: STOPPING_RETRY_MS } as const;
+            throw routerError("this instance is stopping", details);
+        }
+    }
+
+    private recordArrival(ctx: RequestContext, req: IncomingMessage): void {
+        this.parts.timeline.record(
+            "requestArrived",
+            `${req.method ?? ""} ${(req.url ?? "").slice(0, 100)}`,
+            detailsOf(ctx),
+        );
+    }
+
+    private onAnswered(ctx: RequestContext): void {
+        this.parts.timeline.record("requestAnswered", "answered", detailsOf(ctx));
+        this.parts.onAnswered(ctx, undefined);
+    }
+
+    private onRefused(ctx: RequestContext | undefined, id: string, err: RouterError): void {
+        const details = ctx === undefined ? { request: id } : detailsOf(ctx);
+        this.parts.timeline.record("requestRefused", `${err.code}, ${err.run}: ${err.message}`, details);
+        this.parts.onAnswered(ctx, err);
+    }
+
+    private onEnded(): void {
+        this.active--;
+        if (this.active === 0) {
+            this.idle.splice(0).forEach(resolve => resolve());
+        }
+    }
+}
+
+const requireMethod = (req: IncomingMessage, method: string): void => {
+    if (req.method !== method) {
+        throw routerError(`the resource takes ${method}`, { code: "methodNotAllowed", step: "read request" });
+    }
+};
+
+const detailsOf = (ctx: RequestContext): { request: string; account: string; session?: string; } => ({
+    request: ctx.id,
+    account: ctx.account.name,
+    ...(ctx.session === undefined ? {} : { session: ctx.session }),
+});
+
+const listModels = (ctx: RequestContext): object => {
+    const versions = ctx.table.allActiveVersions().filter(version => ctx.account.versions.has(version.key));
+    const names = new Set(versions.flatMap(version => [version.model, version.key]));
+    return { object: "list", data: [...names].map(id => ({ id, object: "model", owned_by: ctx.account.name })) };
+};
--- /dev/null
+++ b/src/node/entry/ChatHandler.ts
@@ -0,0 +1,313 @@
+/**
+ * Answers `POST /v1/chat/completions`: chooses the version, finds a place, relays the engine's answer whole
+ * or as a stream, and records one bill before the answer's end is released.
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type Readable } from "node:stream";
+import { type Bill, type BillItem, type RecordBill, tokenCost } from "../../common/billing/Bill.ts";
+import { type ActiveVersion } from "../../common/configuration/RoutingTable.ts";
+import { toProblem } from "../../common/errors/Problem.ts";
+import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type UpstreamAnswer, type UpstreamClient } from "../dispatch/UpstreamClient.ts";
+import { RUN_HEADER } from "../dispatch/UpstreamClient.ts";
+import { parseJson, readBody } from "../http/HttpBody.ts";
+import { type Attempt, type Attempts } from "./Attempts.ts";
+import { parseChat, type ParsedChat, toEngineBody } from "./ChatRequest.ts";
+import { type RequestContext } from "./RequestContext.ts";
+import { readUsage, SseRelay, type Usage } from "./SseRelay.ts";
+
+export const MODEL_HEADER = "x-model";
+export const VERSION_HEADER = "x-model-version";
+export const SESSION_MOVED_HEADER = "x-session-moved-from";
+
+const CHAT_PATH = "/v1/chat/completions";
+/** Status codes from which on an answer is a failure of the upstream. */
+const SERVER_ERROR = 500;
+const CLIENT_ERROR = 400;
+/** Answers by which an engine refuses load. */
+const REFUSED_STATUS = new Set([429, 502, 503, 504]);
+/** Times that one broken stream is continued. */
+const MAX_RESUMES = 2;
+
+/** The version that answers, and the one that a session had to leave for it. */
+export interface ChosenVersion {
+    readonly version: ActiveVersion;
+    readonly movedFrom?: string | undefined;
+}
+
+/** Chooses the version for a request, or throws a typed refusal. */
+export type ChooseVersion = (ctx: RequestContext, chat: ParsedChat) => Promise<ChosenVersion>;
+
+/** What the handler works with. */
+export interface ChatParts {
+    readonly clock: Clock;
+    readonly attempts: Attempts;
+    readonly client: UpstreamClient;
+    readonly chooseVersion: ChooseVersion;
+    readonly recordBill: RecordBill;
+    readonly maxBodyBytes: number;
+    /** Time to read one token of an uncached prompt, in ms. */
+    readonly promptTokenMs: number;
+}
+
+/** One chat request under way. */
+interface Exchange {
+    readonly ctx: RequestContext;
+    readonly res: ServerResponse;
+    readonly chat: ParsedChat;
+    readonly chosen: ChosenVersion;
+    readonly body: Buffer;
+    readonly items: BillItem[];
+}
+
+/** Handler of chat requests. */
+export class ChatHandler {
+    private readonly parts: ChatParts;
+
+    public constructor(parts: ChatParts) {
+        this.parts = parts;
+    }
+
+    /** Answers the request. Rejects with a `RouterError` while no answer has begun. */
+    public async handle(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const chat = parseChat(parseJson(await readBody(req, this.parts.maxBodyBytes)));
+        const chosen = await this.parts.chooseVersion(ctx, chat);
+        const body = toEngineBody(chat, chosen.version.key);
+        const exchange: Exchange = { ctx, res, chat, chosen, body, items: [] };
+        const work = {
+            target: chosen.version.key,
+            cost: chat.promptTokens + chat.answerTokens,
+            prefixes: chat.prefixes,
+            prefillMs: chat.promptTokens * this.parts.promptTokenMs,
+            isIdempotent: true,
+        };
+        const send = (attempt: Attempt): Promise<void> => this.send(exchange, attempt);
+        await this.parts.attempts.run(ctx, work, send, () => res.headersSent);
+    }
+
+    private async send(exchange: Exchange, attempt: Attempt): Promise<void> {
+        const answer = await this.request(exchange, attempt);
+        refuseFailure(answer, attempt);
+        if (exchange.chat.isStream && answer.status < CLIENT_ERROR) {
+            await this.relayStream(exchange, attempt, answer);
+            return;
+        }
+        await this.relayWhole(exchange, attempt, answer);
+    }
+
+    private request(exchange: Exchange, attempt: Attempt): Promise<UpstreamAnswer> {
+        const { ctx } = exchange;
+        return this.parts.client.send(attempt.assignment.upstream, {
+            attemptId: attempt.id,
+            method: "POST",
+            path: CHAT_PATH,
+            headers: engineHeaders(ctx),
+            body: exchange.body,
+            signal: ctx.signal,
+            timeoutMs: Math.ceil(ctx.leftMs),
+            needsEcho: true,
+        });
+    }
+
+    /** A plain answer is read whole before any of it is passed on, so a broken one can be retried. */
+    private async relayWhole(exchange: Exchange, attempt: Attempt, answer: UpstreamAnswer): Promise<void> {
+        const body = await readWhole(answer.body);
+        const { res, chosen, ctx } = exchange;
+        if (answer.status < CLIENT_ERROR) {
+            const usage = readUsage(parseAnswer(body, attempt));
+            this.addItem(exchange, attempt, usage ?? estimateUsage(exchange.chat, exchange.chat.answerTokens));
+            await this.parts.recordBill(this.toBill(exchange, usage, true));
+        }
+        res.writeHead(answer.status, {
+            ...answerHeaders(ctx, chosen),
+            "content-type": String(answer.headers["content-type"] ?? "application/json"),
+            "content-length": body.length,
+        });
+        res.end(body);
+    }
+
+    private async relayStream(exchange: Exchange, attempt: Attempt, answer: UpstreamAnswer): Promise<void> {
+        const { ctx, res, chosen, chat } = exchange;
+        const relay = new SseRelay(res, chat.request.stream_options?.include_usage === true);
+        const firstChunk = await firstOf(answer.body);
+        res.writeHead(answer.status, {
+            ...answerHeaders(ctx, chosen),
+            "content-type": "text/event-stream",
+            "cache-control": "no-store",
+        });
+        try {
+            await this.relayToEnd(exchange, attempt, relay, firstChunk);
+            await this.billStream(exchange, attempt, relay, true);
+            relay.finish();
+        }
+        catch (err) {
+            await this.billStream(exchange, attempt, relay, false);
+            const failure = toRouterError(err, failedRelay(attempt));
+            relay.fail(toProblem(failure, ctx.id));
+            throw failure;
+        }
+    }
+
+    /** Relays the stream and continues it where the engine can when it breaks. */
+    private async relayToEnd(exchange: Exchange, attempt: Attempt, relay: SseRelay, body: Readable): Promise<void> {
+        let current = body;
+        for (let resumes = 0;; resumes++) {
+            let failure: unknown = routerError("the stream ended without its end mark", failedRelay(attempt));
+            try {
+                await relay.run(current);
+            }
+            catch (err) {
+                failure = err;
+            }
+            if (relay.isDone) {
+                return;
+            }
+            if (exchange.ctx.signal.aborted || resumes >= MAX_RESUMES || !canResume(attempt, relay)) {
+                throw failure;
+            }
+            current = await this.resume(exchange, attempt, relay);
+        }
+    }
+
+    private async resume(exchange: Exchange, attempt: Attempt, relay: SseRelay): Promise<Readable> {
+        const { ctx } = exchange;
+        const answer = await this.parts.client.send(attempt.assignment.upstream, {
+            attemptId: attempt.id,
+            method: "GET",
+            path: `/v1/streams/${attempt.id}`,
+            headers: { "last-event-id": relay.lastEventId ?? "" },
+            body: undefined,
+            signal: ctx.signal,
+            timeoutMs: Math.ceil(ctx.leftMs),
+            needsEcho: true,
+        });
+        if (answer.status >= CLIENT_ERROR) {
+            answer.body.resume();
+            throw routerError(`the engine could not resume the stream (status ${answer.status})`, failedRelay(attempt));
+        }
+        return answer.body;
+    }
+
+    private async billStream(
+        exchange: Exchange,
+        attempt: Attempt,
+        relay: SseRelay,
+        isComplete: boolean,
+    ): Promise<void> {
+        const usage = relay.usage ?? estimateUsage(exchange.chat, relay.events);
+        this.addItem(exchange, attempt, usage);
+        await this.parts.recordBill(this.toBill(exchange, usage, isComplete));
+    }
+
+    private addItem(exchange: Exchange, attempt: Attempt, usage: Usage): void {
+        const { version } = exchange.chosen;
+        const tokens = usage.promptTokens + usage.completionTokens;
+        const upstream = attempt.assignment.upstream.announcement.id;
+        exchange.items.push({ target: version.key, upstream, tokens, cost: tokenCost(tokens, version.cost) });
+    }
+
+    private toBill(exchange: Exchange, usage: Usage | undefined, isComplete: boolean): Bill {
+        const { ctx, chosen, items, chat } = exchange;
+        const counted = usage ?? estimateUsage(chat, chat.answerTokens);
+        return {
+            id: ctx.id,
+            account: ctx.account.name,
+            target: chosen.version.key,
+            at: this.parts.clock.now(),
+            promptTokens: counted.promptTokens,
+            completionTokens: counted.completionTokens,
+            cost: items.reduce((sum, item) => sum + item.cost, 0),
+            items,
+            isComplete,
+        };
+    }
+}
+
+const engineHeaders = (ctx: RequestContext): Record<string, string> => ({
+    "content-type": "application/json",
+    "x-request-deadline-ms": String(Math.ceil(ctx.leftMs)),
+    "x-priority": String(ctx.priority),
+});
+
+const answerHeaders = (ctx: RequestContext, chosen: ChosenVersion): Record<string, string> => {
+    const headers: Record<string, string> = {
+        "x-request-id": ctx.id,
+        [MODEL_HEADER]: chosen.version.model,
+        [VERSION_HEADER]: chosen.version.version,
+    };
+    if (chosen.movedFrom !== undefined) {
+        headers[SESSION_MOVED_HEADER] = chosen.movedFrom;
+    }
+    return headers;
+};
+
+/** Throws when the answer is a failure of the upstream and not of the request. */
+export const refuseFailure = (answer: UpstreamAnswer, attempt: Attempt): void => {
+    if (answer.status < SERVER_ERROR && !REFUSED_STATUS.has(answer.status)) {
+        return;
+    }
+    answer.body.on("error", () => undefined);
+    answer.body.resume();
+    const peer = attempt.assignment.upstream.announcement.id;
+    throw routerError(`upstream ${peer} answered with status ${answer.status}`, {
+        code: "upstreamFailed",
+        run: answer.headers[RUN_HEADER] === "not_run" ? "not_run" : "unknown",
+        step: "read answer",
+        peer,
+    });
+};
+
+const failedRelay = (attempt: Attempt): { code: "upstreamFailed"; run: "ran"; step: string; peer: string; } => ({
+    code: "upstreamFailed",
+    run: "ran",
+    step: "relay stream",
+    peer: attempt.assignment.upstream.announcement.id,
+});
+
+const canResume = (attempt: Attempt, relay: SseRelay): boolean =>
+    attempt.assignment.upstream.announcement.resumesStreams && relay.lastEventId !== undefined;
+
+const estimateUsage = (chat: ParsedChat, completionTokens: number): Usage => ({
+    promptTokens: chat.promptTokens,
+    completionTokens,
+});
+
+const parseAnswer = (body: Buffer, attempt: Attempt): unknown => {
+    try {
+        return JSON.parse(body.toString("utf8"));
+    }
+    catch (err) {
+        const peer = attempt.assignment.upstream.announcement.id;
+        const details = { code: "upstreamFailed", run: "ran", step: "read answer", peer, cause: err } as const;
+        throw routerError(`upstream ${peer} sent an answer that is not JSON`, details);
+    }
+};
+
+/** Reads a body to its end. Rejects when it breaks off. */
+export const readWhole = async (body: Readable): Promise<Buffer> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of body) {
+        chunks.push(chunk as Buffer);
+    }
+    return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+};
+
+/** Waits until a stream has begun, so that one that breaks before can be retried. */
+const firstOf = async (body: Readable): Promise<Readable> => {
+    if (body.readableLength > 0) {
+        return body;
+    }
+    await new Promise<void>((resolve, reject) => {
+        const settle = (finish: () => void) => (): void => {
+            body.off("readable", onReadable);
+            body.off("error", onError);
+            finish();
+        };
+        const onReadable = settle(resolve);
+        const onError = (err: Error): void => settle(() => reject(err))();
+        body.once("readable", onReadable);
+        body.once("error", onError);
+    });
+    return body;
+};
--- /dev/null
+++ b/src/node/entry/ServiceHandler.ts
@@ -0,0 +1,191 @@
+/**
+ * Passes calls of plain services through: `/services/NAME/PATH` becomes `/PATH` on one of the service's
+ * upstreams. Calls that the sheet does not declare idempotent are sent at most once.
+ */
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import { type RecordBill } from "../../common/billing/Bill.ts";
+import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { serviceTarget } from "../../common/upstreams/Upstream.ts";
+import { RUN_HEADER, type UpstreamAnswer, type UpstreamClient } from "../dispatch/UpstreamClient.ts";
+import { readBody } from "../http/HttpBody.ts";
+import { type Attempt, type Attempts } from "./Attempts.ts";
+import { readWhole, refuseFailure } from "./ChatHandler.ts";
+import { type RequestContext } from "./RequestContext.ts";
+
+/** Path under which services are reached. */
+export const SERVICES_PATH = "/services/";
+/** Answers up to this size are read whole before they are passed on, so a broken one can be retried. */
+const HELD_ANSWER_BYTES = 65_536;
+/** Cost of a call in the unit of the fair queue, which is tokens. */
+const CALL_COST = 100;
+
+/** Headers that belong to one connection, or that the router sets itself. */
+const hopHeaders = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "x-request-id",
+    "expect",
+]);
+
+/** What the handler works with. */
+export interface ServiceParts {
+    readonly clock: Clock;
+    readonly attempts: Attempts;
+    readonly client: UpstreamClient;
+    readonly recordBill: RecordBill;
+    readonly maxBodyBytes: number;
+}
+
+/** A call of a service, taken apart. */
+export interface ServiceCall {
+    readonly service: string;
+    readonly method: string;
+    /** Path and query on the service. */
+    readonly path: string;
+    readonly isIdempotent: boolean;
+}
+
+/** Handler of service calls. */
+export class ServiceHandler {
+    private readonly parts: ServiceParts;
+
+    public constructor(parts: ServiceParts) {
+        this.parts = parts;
+    }
+
+    /** Answers the call. Rejects with a `RouterError` while no answer has begun. */
+    public async handle(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const call = parseCall(ctx, req);
+        const body = await readBody(req, this.parts.maxBodyBytes);
+        const work = {
+            target: serviceTarget(call.service),
+            cost: CALL_COST,
+            prefixes: [],
+            prefillMs: 0,
+            isIdempotent: call.isIdempotent,
+        };
+        const headers = forwardedHeaders(req);
+        const send = async (attempt: Attempt): Promise<void> => {
+            const answer = await this.parts.client.send(attempt.assignment.upstream, {
+                attemptId: attempt.id,
+                method: call.method,
+                path: call.path,
+                headers,
+                body: body.length === 0 ? undefined : body,
+                signal: ctx.signal,
+                timeoutMs: Math.ceil(ctx.leftMs),
+                needsEcho: false,
+            });
+            // An answer to a call that may not be repeated is the service's own and passed on, whatever its status.
+            if (call.isIdempotent || answer.headers[RUN_HEADER] === "not_run") {
+                refuseFailure(answer, attempt);
+            }
+            await this.relay(ctx, call, attempt, answer, res);
+        };
+        await this.parts.attempts.run(ctx, work, send, () => res.headersSent);
+    }
+
+    private async relay(
+        ctx: RequestContext,
+        call: ServiceCall,
+        attempt: Attempt,
+        answer: UpstreamAnswer,
+        res: ServerResponse,
+    ): Promise<void> {
+        const headers = { ...answeredHeaders(answer), "x-request-id": ctx.id };
+        const length = Number(answer.headers["content-length"] ?? NaN);
+        if (length <= HELD_ANSWER_BYTES) {
+            const body = await readWhole(answer.body);
+            await this.bill(ctx, call, attempt, true);
+            res.writeHead(answer.status, { ...headers, "content-length": body.length });
+            res.end(body);
+            return;
+        }
+        res.writeHead(answer.status, headers);
+        try {
+            await pipeline(answer.body, res, { end: false });
+        }
+        catch (err) {
+            await this.bill(ctx, call, attempt, false);
+            res.destroy();
+            const peer = attempt.assignment.upstream.announcement.id;
+            throw toRouterError(err, { code: "upstreamFailed", run: "ran", step: "relay answer", peer });
+        }
+        await this.bill(ctx, call, attempt, true);
+        res.end();
+    }
+
+    private async bill(ctx: RequestContext, call: ServiceCall, attempt: Attempt, isComplete: boolean): Promise<void> {
+        const cost = ctx.table.service(call.service)?.cost ?? 0;
+        const target = serviceTarget(call.service);
+        const upstream = attempt.assignment.upstream.announcement.id;
+        await this.parts.recordBill({
+            id: ctx.id,
+            account: ctx.account.name,
+            target,
+            at: this.parts.clock.now(),
+            promptTokens: 0,
+            completionTokens: 0,
+            cost,
+            items: [{ target, upstream, tokens: 0, cost }],
+            isComplete,
+        });
+    }
+}
+
+/** Takes a service call apart and checks that the account may make it. */
+export const parseCall = (ctx: RequestContext, req: IncomingMessage): ServiceCall => {
+    const rest = (req.url ?? "").slice(SERVICES_PATH.length);
+    const end = rest.search(/[/?]|$/);
+    const service = rest.slice(0, end);
+    const path = rest.slice(end).startsWith("/") ? rest.slice(end) : `/${rest.slice(end)}`;
+    if (ctx.table.service(service) === undefined) {
+        throw routerError(`no service "${service}"`, { code: "unknownService", step: "choose service" });
+    }
+    if (!ctx.account.services.has(service)) {
+        const message = `account "${ctx.account.name}" may not use service "${service}"`;
+        throw routerError(message, { code: "notAllowed", step: "choose service" });
+    }
+    const method = req.method ?? "GET";
+    const pathOnly = path.split("?")[0] ?? path;
+    if (hasDotSegment(pathOnly)) {
+        throw routerError("the path has a dot segment", { code: "malformedRequest", step: "choose service" });
+    }
+    return { service, method, path, isIdempotent: ctx.table.isIdempotentCall(service, method, pathOnly) };
+};
+
+/** A dot segment would make the service see another path than the one that the sheet's calls are matched with. */
+const hasDotSegment = (path: string): boolean =>
+    path.split("/").some(segment => /^(\.|%2e){1,2}$/i.test(segment)) || path.includes("//")
+    || /%2f|%5c|\\/i.test(path);
+
+const forwardedHeaders = (req: IncomingMessage): Record<string, string> => {
+    const headers: Record<string, string> = {};
+    for (const [name, value] of Object.entries(req.headers)) {
+        if (value !== undefined && !hopHeaders.has(name)) {
+            headers[name] = Array.isArray(value) ? value.join(", ") : value;
+        }
+    }
+    return headers;
+};
+
+const answeredHeaders = (answer: UpstreamAnswer): Record<string, string | string[]> => {
+    const headers: Record<string, string | string[]> = {};
+    for (const [name, value] of Object.entries(answer.headers)) {
+        if (value !== undefined && !hopHeaders.has(name)) {
+            headers[name] = value;
+        }
+    }
+    return headers;
+};
--- /dev/null
+++ b/src/node/http/HttpDoor.ts
@@ -0,0 +1,109 @@
+/**
+ * An HTTP door of an instance: a server with bounded headers, connections and arrival times whose requests
+ * pass through a moleculer-web gateway of the local broker. Bodies and streams stay out of the gateway.
+ */
+import { type Service, type ServiceBroker } from "moleculer";
+import ApiGateway from "moleculer-web";
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
+import { routerError } from "../../common/errors/RouterError.ts";
+import { type Part } from "../../common/lifecycle/Lifecycle.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
+
+/** Answers one request. It must not reject: every failure is answered. */
+export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+
+/** Bounds of a door. */
+export interface DoorLimits {
+    readonly maxHeaderBytes: number;
+    readonly maxHeaders: number;
+    readonly maxConnections: number;
+    /** Time in which a whole request must have arrived, in ms. */
+    readonly arrivalTimeoutMs: number;
+}
+
+/** How often node looks for connections that exceed the arrival time, in ms. */
+const ARRIVAL_CHECK_MS = 500;
+/** How long an idle connection is kept, in ms. */
+const KEEP_ALIVE_MS = 65_000;
+
+interface Gateway extends Service {
+    express(): RequestListener;
+}
+
+/** A server on one address. */
+export class HttpDoor implements Part {
+    public readonly name: string;
+    private readonly broker: ServiceBroker;
+    private readonly address: Address;
+    private readonly limits: DoorLimits;
+    private readonly handle: HttpHandler;
+    private server: Server | undefined;
+
+    public constructor(broker: ServiceBroker, name: string, address: Address, limits: DoorLimits, handle: HttpHandler) {
+        this.broker = broker;
+        this.name = name;
+        this.address = address;
+        this.limits = limits;
+        this.handle = handle;
+    }
+
+    /** Port that the door listens on, which differs from the setting when that is 0. */
+    public get port(): number {
+        const bound = this.server?.address();
+        return typeof bound === "object" ? bound?.port ?? this.address.port : this.address.port;
+    }
+
+    public async start(): Promise<void> {
+        const gateway = this.createGateway();
+        const server = createServer({
+            maxHeaderSize: this.limits.maxHeaderBytes,
+            requestTimeout: this.limits.arrivalTimeoutMs,
+            headersTimeout: this.limits.arrivalTimeoutMs,
+            connectionsCheckingInterval: ARRIVAL_CHECK_MS,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+        }, gateway.express());
+        server.maxHeadersCount = this.limits.maxHeaders;
+        server.maxConnections = this.limits.maxConnections;
+        this.server = server;
+        await this.listen(server);
+    }
+
+    /** Stops accepting connections and waits until the requests in flight have been answered. */
+    public stop(): Promise<void> {
+        const server = this.server;
+        if (server === undefined) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            server.close(() => resolve());
+            server.closeIdleConnections();
+        });
+    }
+
+    private createGateway(): Gateway {
+        const answer = (req: IncomingMessage, res: ServerResponse): void => void this.handle(req, res);
+        return this.broker.createService({
+            name: `${this.name}-door`,
+            mixins: [ApiGateway],
+            settings: {
+                server: false,
+                logRequest: false,
+                logResponse: false,
+                logRouteRegistration: false,
+                routes: [{ path: "/", use: [answer], bodyParsers: false, aliases: {} }],
+            },
+        }) as Gateway;
+    }
+
+    private listen(server: Server): Promise<void> {
+        const { host, port } = this.address;
+        return new Promise((resolve, reject) => {
+            server.once("error", err => {
+                const peer = `${host}:${port}`;
+                const message = `cannot listen on ${peer}: ${err.message}`;
+                reject(routerError(message, { code: "internal", step: `open door ${this.name}`, peer, cause: err }));
+            });
+            server.listen(port, host, () => resolve());
+        });
+    }
+}
--- /dev/null
+++ b/src/node/metrics/Metrics.ts
@@ -0,0 +1,84 @@
+/**
+ * Metrics by prom-client. Label sets are bounded: accounts, versions and codes come from the sheet and from
+ * the program, never from what callers send.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type InstanceCore } from "../../common/instance/InstanceCore.ts";
+
+/** Bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10, 30, 60];
+
+/** Metrics of one instance. */
+export class Metrics {
+    private readonly registry = new Registry();
+    private readonly requests = new Counter({
+        name: "skylarktide_requests_total",
+        help: "Requests of callers, by account and outcome code.",
+        labelNames: ["account", "code"],
+        registers: [this.registry],
+    });
+    private readonly latency = new Histogram({
+        name: "skylarktide_request_seconds",
+        help: "Time from arrival to the end of the answer.",
+        labelNames: ["account"],
+        buckets: LATENCY_BUCKETS,
+        registers: [this.registry],
+    });
+    private readonly attempts = new Counter({
+        name: "skylarktide_attempts_total",
+        help: "Attempts sent to upstreams, by target and result.",
+        labelNames: ["target", "result"],
+        registers: [this.registry],
+    });
+
+    /** Adds gauges that read the core when they are collected. */
+    public constructor(core: InstanceCore, inFlight: () => number, discardedAnswers: () => number) {
+        this.gauge("skylarktide_in_flight_requests", "Requests without a complete answer.", inFlight);
+        this.gauge("skylarktide_queued_requests", "Requests that wait for a slot.", () => core.dispatcher.queueLength);
+        this.gauge("skylarktide_upstreams", "Upstreams that are announced.", () => core.registry.all().length);
+        this.gauge("skylarktide_members", "Instances that are alive.", () => core.membership.alive().length);
+        this.gauge("skylarktide_sessions", "Sessions remembered here.", () => core.pins.size);
+        this.gauge(
+            "skylarktide_configuration_revision",
+            "Revision in force here.",
+            () => core.follower.configuration.revision,
+        );
+        this.gauge("skylarktide_configuration_age_seconds", "Age of the newest proof of the control majority.", () => {
+            return Math.min(core.follower.contactAgeMs, NEVER_MS) / MS_PER_SECOND;
+        });
+        this.gauge("skylarktide_held_bills", "Bills that are only in memory.", () => core.bills.heldCount);
+        this.gauge("skylarktide_discarded_answers", "Answers that belonged to another request.", discardedAnswers);
+        this.gauge("skylarktide_control_is_leader", "1 on the leader of the control log.", () => {
+            return core.control?.status.role === "leader" ? 1 : 0;
+        });
+    }
+
+    public onAnswered(account: string, code: string, durationMs: number): void {
+        this.requests.inc({ account, code });
+        this.latency.observe({ account }, durationMs / MS_PER_SECOND);
+    }
+
+    public onAttempt(target: string, result: string): void {
+        this.attempts.inc({ target, result });
+    }
+
+    /** All metrics in the Prometheus text format. */
+    public text(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    private gauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
+
+const MS_PER_SECOND = 1000;
+/** Age that is shown for "never in contact", in ms. */
+const NEVER_MS = 86_400_000;
