--- /dev/null
+++ b/src/node/peers/PeerLink.ts
@@ -0,0 +1,198 @@
+/**
+ * The connection that this instance opens to one peer for its own calls. It is opened when first needed and
+ * again after it broke; calls in flight at that time are rejected.
+ */
+import { connect, type Socket } from "node:net";
+import { z } from "zod";
+import { ErrorStatus, type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Disposable, DisposableOwner } from "../../common/lifecycle/Disposable.ts";
+import { type PeerCallName, peerCalls, type PeerReply, type PeerRequest } from "../../common/peers/PeerCalls.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
+import { encodeFrame, FrameReader, readMessages } from "./FrameCodec.ts";
+import { type Credentials, dialHandshake, type Secured } from "./Handshake.ts";
+
+/** Pause after a failed connection, in ms. */
+const RECONNECT_PAUSE_MS = 100;
+/** Time in which a connection must stand, in ms. */
+const CONNECT_TIMEOUT_MS = 500;
+
+const replySchema = z.object({
+    id: z.number(),
+    reply: z.unknown().optional(),
+    error: z.object({
+        message: z.string(),
+        code: z.enum(Object.keys(ErrorStatus) as [keyof typeof ErrorStatus]),
+        run: z.enum(["not_run", "unknown", "ran"]),
+    }).optional(),
+});
+
+interface Pending {
+    readonly name: PeerCallName;
+    readonly timer: Disposable;
+    resolve(reply: unknown): void;
+    reject(err: RouterError): void;
+}
+
+interface Connection {
+    readonly socket: Socket;
+    readonly secured: Secured;
+}
+
+/** Calls to one peer. */
+export class PeerLink extends DisposableOwner {
+    private readonly clock: Clock;
+    private readonly own: Credentials;
+    private readonly peer: string;
+    private readonly address: Address;
+    private readonly pending = new Map<number, Pending>();
+    private connection: Promise<Connection> | undefined;
+    private socket: Socket | undefined;
+    private failedAt = -Infinity;
+    private count = 0;
+    private sent = 0;
+
+    public constructor(clock: Clock, own: Credentials, peer: string, address: Address) {
+        super();
+        this.clock = clock;
+        this.own = own;
+        this.peer = peer;
+        this.address = address;
+        this.register({ dispose: () => this.socket?.destroy() });
+    }
+
+    /** Bytes sent to the peer. */
+    public get sentBytes(): number {
+        return this.sent;
+    }
+
+    public call<K extends PeerCallName>(name: K, req: PeerRequest<K>, timeoutMs: number): Promise<PeerReply<K>> {
+        return new Promise((resolve, reject) => {
+            const id = ++this.count;
+            const timer = this.clock.schedule(timeoutMs, () => {
+                if (this.pending.delete(id)) {
+                    reject(this.failure(name, `no reply from ${this.peer} within ${Math.round(timeoutMs)} ms`));
+                }
+            });
+            this.pending.set(id, { name, timer, resolve: resolve as (reply: unknown) => void, reject });
+            this.connect().then(connection => this.send(connection, { id, name, req }), (err: unknown) => {
+                this.settle(id, pending => {
+                    const details = { code: "internal", run: "not_run", step: name, peer: this.peer } as const;
+                    pending.reject(toRouterError(err, details));
+                });
+            });
+        });
+    }
+
+    private send({ socket, secured }: Connection, message: unknown): void {
+        const frame = encodeFrame(message, secured.sendKey);
+        this.sent += frame.length;
+        socket.write(frame);
+    }
+
+    private connect(): Promise<Connection> {
+        if (this.connection === undefined) {
+            if (this.isDisposed || this.clock.monotonic() - this.failedAt < RECONNECT_PAUSE_MS) {
+                const details = { code: "internal", run: "not_run", step: "connect", peer: this.peer } as const;
+                return Promise.reject(routerError(`instance ${this.peer} cannot be reached`, details));
+            }
+            this.connection = this.open();
+        }
+        return this.connection;
+    }
+
+    private async open(): Promise<Connection> {
+        const socket = connect({ host: this.address.host, port: this.address.port, noDelay: true });
+        this.socket = socket;
+        const limit = this.clock.schedule(
+            CONNECT_TIMEOUT_MS,
+            () => socket.destroy(new Error("the connection timed out")),
+        );
+        try {
+            await opened(socket);
+            const reader = new FrameReader();
+            const messages = readMessages(socket, reader);
+            const secured = await dialHandshake(socket, messages, reader, this.own, this.peer);
+            void this.readReplies(socket, messages);
+            return { socket, secured };
+        }
+        catch (err) {
+            this.onBroken(socket, err);
+            throw err;
+        }
+        finally {
+            limit.dispose();
+        }
+    }
+
+    /** The task of the connection: takes replies until it breaks. */
+    private async readReplies(socket: Socket, messages: AsyncGenerator<unknown, void, undefined>): Promise<void> {
+        try {
+            for await (const message of messages) {
+                this.onReply(message);
+            }
+            this.onBroken(socket, new Error("the peer closed the connection"));
+        }
+        catch (err) {
+            this.onBroken(socket, err);
+        }
+    }
+
+    private onReply(message: unknown): void {
+        const { id, reply, error } = replySchema.parse(message);
+        this.settle(id, pending => {
+            if (error !== undefined) {
+                const { message: text, code, run } = error;
+                pending.reject(routerError(text, { code, run, step: pending.name, peer: this.peer }));
+                return;
+            }
+            const checked = peerCalls[pending.name].reply.safeParse(reply);
+            if (checked.success) {
+                pending.resolve(checked.data);
+            }
+            else {
+                pending.reject(
+                    this.failure(pending.name, `the reply of ${this.peer} is malformed: ${checked.error.message}`),
+                );
+            }
+        });
+    }
+
+    private onBroken(socket: Socket, err: unknown): void {
+        if (this.socket !== socket) {
+            return;
+        }
+        this.socket = undefined;
+        this.connection = undefined;
+        this.failedAt = this.clock.monotonic();
+        socket.destroy();
+        const reason = err instanceof Error ? err.message : String(err);
+        for (const id of [...this.pending.keys()]) {
+            this.settle(
+                id,
+                pending => pending.reject(this.failure(pending.name, `connection to ${this.peer}: ${reason}`)),
+            );
+        }
+    }
+
+    private settle(id: number, finish: (pending: Pending) => void): void {
+        const pending = this.pending.get(id);
+        if (pending === undefined) {
+            return;
+        }
+        this.pending.delete(id);
+        pending.timer.dispose();
+        finish(pending);
+    }
+
+    private failure(name: PeerCallName, message: string): RouterError {
+        return routerError(message, { code: "internal", run: "unknown", step: name, peer: this.peer });
+    }
+}
+
+const opened = (socket: Socket): Promise<void> =>
+    new Promise((resolve, reject) => {
+        socket.once("connect", resolve);
+        socket.once("error", reject);
+        socket.once("close", () => reject(new Error("the connection was closed")));
+    });
--- /dev/null
+++ b/src/node/peers/TcpNetwork.ts
@@ -0,0 +1,225 @@
+/**
+ * The network between instances over TCP: a door that answers the calls of others, and a link to each peer
+ * for the own calls.
+ */
+import { createServer, type Server, type Socket } from "node:net";
+import { z } from "zod";
+import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type Disposable, DisposableOwner, toDisposable } from "../../common/lifecycle/Disposable.ts";
+import { type PeerCallName, peerCalls, type PeerReply, type PeerRequest } from "../../common/peers/PeerCalls.ts";
+import { type PeerHandler, type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type Log } from "../log/Log.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
+import { encodeFrame, FrameReader, readMessages } from "./FrameCodec.ts";
+import { acceptHandshake, type Credentials, type Secured } from "./Handshake.ts";
+import { PeerLink } from "./PeerLink.ts";
+
+/** Time in which an accepted connection must have proven itself, in ms. */
+const HANDSHAKE_TIMEOUT_MS = 2000;
+/** Most connections that have not proven themselves, so that strangers cannot use up memory. */
+const MAX_STRANGERS = 64;
+
+const callSchema = z.object({
+    id: z.number(),
+    name: z.enum(Object.keys(peerCalls) as [PeerCallName]),
+    req: z.unknown(),
+});
+
+/** Network of one process. */
+export class TcpNetwork extends DisposableOwner implements PeerNetwork {
+    public readonly self: string;
+    private readonly clock: Clock;
+    private readonly own: Credentials;
+    private readonly door: Address | undefined;
+    private readonly log: Log;
+    private readonly addresses = new Map<string, Address>();
+    private readonly settled: ReadonlySet<string>;
+    private readonly links = new Map<string, PeerLink>();
+    private readonly handlers = new Map<PeerCallName, PeerHandler<PeerCallName>>();
+    private readonly sockets = new Set<Socket>();
+    private strangers = 0;
+    private server: Server | undefined;
+
+    public constructor(
+        clock: Clock,
+        own: Credentials,
+        door: Address | undefined,
+        peers: Readonly<Record<string, Address>>,
+        log: Log,
+    ) {
+        super();
+        this.clock = clock;
+        this.own = own;
+        this.self = own.id;
+        this.door = door;
+        this.log = log;
+        this.settled = new Set(Object.keys(peers));
+        for (const [peer, address] of Object.entries(peers)) {
+            this.addresses.set(peer, address);
+        }
+        this.register({ dispose: () => this.close() });
+    }
+
+    public get configured(): readonly string[] {
+        return [...this.settled].filter(peer => peer !== this.self);
+    }
+
+    /** Bytes sent to all peers in calls. */
+    public get sentBytes(): number {
+        let total = 0;
+        for (const link of this.links.values()) {
+            total += link.sentBytes;
+        }
+        return total;
+    }
+
+    /** Opens the door. */
+    public open(): Promise<void> {
+        const { door } = this;
+        if (door === undefined) {
+            return Promise.resolve();
+        }
+        const server = createServer({ noDelay: true }, socket => void this.serve(socket));
+        this.server = server;
+        return new Promise((resolve, reject) => {
+            server.once("error", err => {
+                const peer = `${door.host}:${door.port}`;
+                reject(
+                    routerError(`cannot listen on ${peer}: ${err.message}`, {
+                        code: "internal",
+                        step: "open door peers",
+                        peer,
+                        cause: err,
+                    }),
+                );
+            });
+            server.listen(door.port, door.host, resolve);
+        });
+    }
+
+    public call<K extends PeerCallName>(
+        peer: string,
+        name: K,
+        req: PeerRequest<K>,
+        timeoutMs: number,
+    ): Promise<PeerReply<K>> {
+        const link = this.linkTo(peer);
+        if (link === undefined) {
+            const details = { code: "internal", run: "not_run", step: name, peer } as const;
+            return Promise.reject(routerError(`the address of instance ${peer} is not known`, details));
+        }
+        return link.call(name, req, timeoutMs);
+    }
+
+    public handle<K extends PeerCallName>(name: K, handler: PeerHandler<K>): Disposable {
+        this.handlers.set(name, handler as unknown as PeerHandler<PeerCallName>);
+        return toDisposable(() => this.handlers.delete(name));
+    }
+
+    public learnAddress(peer: string, address: string): void {
+        const colon = address.lastIndexOf(":");
+        if (this.settled.has(peer) || colon < 0) {
+            return;
+        }
+        const next = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+        const known = this.addresses.get(peer);
+        if (known?.host === next.host && known.port === next.port) {
+            return;
+        }
+        this.addresses.set(peer, next);
+        this.links.get(peer)?.dispose();
+        this.links.delete(peer);
+    }
+
+    private linkTo(peer: string): PeerLink | undefined {
+        const known = this.links.get(peer);
+        const address = this.addresses.get(peer);
+        if (known !== undefined || address === undefined || this.isDisposed) {
+            return known;
+        }
+        const link = new PeerLink(this.clock, this.own, peer, address);
+        this.links.set(peer, link);
+        return link;
+    }
+
+    /** The task of one accepted connection: answers its calls until it ends. */
+    private async serve(socket: Socket): Promise<void> {
+        if (this.strangers >= MAX_STRANGERS) {
+            socket.destroy();
+            return;
+        }
+        this.sockets.add(socket);
+        socket.on("error", () => socket.destroy());
+        const reader = new FrameReader();
+        const messages = readMessages(socket, reader);
+        try {
+            const secured = await this.admit(socket, messages, reader);
+            for await (const message of messages) {
+                void this.answer(socket, secured, message);
+            }
+        }
+        catch (err) {
+            this.log.debug("A connection ended.", { reason: (err as Error).message });
+        }
+        finally {
+            this.sockets.delete(socket);
+            socket.destroy();
+        }
+    }
+
+    private async admit(
+        socket: Socket,
+        messages: AsyncGenerator<unknown, void, undefined>,
+        reader: FrameReader,
+    ): Promise<Secured> {
+        this.strangers++;
+        const limit = this.clock.schedule(HANDSHAKE_TIMEOUT_MS, () => socket.destroy());
+        try {
+            return await acceptHandshake(socket, messages, reader, this.own);
+        }
+        catch (err) {
+            this.log.warn("An instance was refused.", { reason: (err as Error).message, peer: socket.remoteAddress });
+            throw err;
+        }
+        finally {
+            limit.dispose();
+            this.strangers--;
+        }
+    }
+
+    private async answer(socket: Socket, secured: Secured, message: unknown): Promise<void> {
+        const call = callSchema.safeParse(message);
+        if (!call.success) {
+            socket.destroy();
+            return;
+        }
+        const { id, name, req } = call.data;
+        const result = await this.invoke(name, req, secured.peer);
+        if (!socket.destroyed) {
+            socket.write(encodeFrame({ id, ...result }, secured.sendKey));
+        }
+    }
+
+    private async invoke(name: PeerCallName, req: unknown, from: string): Promise<object> {
+        try {
+            const handler = this.handlers.get(name);
+            const checked = peerCalls[name].req.safeParse(req);
+            if (handler === undefined || !checked.success) {
+                const reason = checked.success ? "has no handler here" : `is malformed: ${checked.error.message}`;
+                throw routerError(`call ${name} ${reason}`, { code: "malformedRequest", step: name, peer: from });
+            }
+            return { reply: await handler(checked.data, from) };
+        }
+        catch (err) {
+            const failure = toRouterError(err, { code: "internal", run: "unknown", step: name, peer: from });
+            return { error: { message: failure.message, code: failure.code, run: failure.run } };
+        }
+    }
+
+    private close(): void {
+        this.server?.close();
+        this.sockets.forEach(socket => socket.destroy());
+        this.links.forEach(link => link.dispose());
+    }
+}
--- /dev/null
+++ b/src/node/settings/SettingsReader.ts
@@ -0,0 +1,170 @@
+/**
+ * Reads a settings file. Every fault is reported at once, with file, line and key; an unknown key is
+ * answered with the nearest known one.
+ */
+import { parse } from "ini";
+import { readFileSync } from "node:fs";
+import { type z } from "zod";
+import { type Settings, settingsSchema } from "./SettingsSchema.ts";
+
+/** Environment variable that overrides `control.secret`. */
+export const SECRET_VARIABLE = "SKYLARKTIDE_SECRET";
+
+/** A fault of a settings file. */
+export interface SettingsFault {
+    readonly file: string;
+    /** Line from 1; of the section, when the key is missing. */
+    readonly line: number;
+    /** `section.key`. */
+    readonly field: string;
+    readonly message: string;
+}
+
+/** Checked settings, or all faults of the file. */
+export type SettingsResult =
+    | { readonly settings: Settings; readonly faults: readonly []; }
+    | { readonly settings: undefined; readonly faults: readonly SettingsFault[]; };
+
+type Sections = Record<string, Record<string, unknown>>;
+
+/** Reads and checks `file`. */
+export const readSettings = (file: string, env: NodeJS.ProcessEnv): SettingsResult => {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (err) {
+        return failed([{ file, line: 0, field: "", message: (err as Error).message }]);
+    }
+    return parseSettings(file, text, env);
+};
+
+/** Checks the text of a settings file. */
+export const parseSettings = (file: string, text: string, env: NodeJS.ProcessEnv): SettingsResult => {
+    const sections = parse(text) as Sections;
+    const secret = env[SECRET_VARIABLE];
+    if (secret !== undefined) {
+        sections["control"] = { ...sections["control"], secret };
+    }
+    const result = settingsSchema.safeParse(sections);
+    if (!result.success) {
+        return failed(result.error.issues.flatMap(issue => toFaults(file, text, issue)));
+    }
+    const faults = checkRoles(file, text, result.data);
+    return faults.length > 0 ? failed(faults) : { settings: result.data, faults: [] };
+};
+
+const failed = (faults: readonly SettingsFault[]): SettingsResult => ({ settings: undefined, faults });
+
+const toFaults = (file: string, text: string, issue: z.core.$ZodIssue): SettingsFault[] => {
+    const path = issue.path.map(String);
+    if (issue.code === "unrecognized_keys") {
+        return issue.keys.map(key => unknownKey(file, text, [...path, key]));
+    }
+    const isMissing = issue.code === "invalid_type" && issue.message.includes("undefined");
+    const message = isMissing ? "the key is missing" : issue.message;
+    return [{ file, line: locate(text, path), field: path.join("."), message }];
+};
+
+const unknownKey = (file: string, text: string, path: readonly string[]): SettingsFault => {
+    const [section, key] = path;
+    const known = key === undefined ? Object.keys(settingsSchema.shape) : keysOf(section ?? "");
+    const nearest = nearestName(key ?? section ?? "", known);
+    const hint = nearest === undefined ? "" : `; did you mean "${nearest}"?`;
+    const kind = key === undefined ? "section" : "key";
+    return { file, line: locate(text, path), field: path.join("."), message: `unknown ${kind}${hint}` };
+};
+
+const keysOf = (section: string): string[] => {
+    const value: unknown = Reflect.get(settingsSchema.shape, section);
+    const schema = unwrap(value);
+    return schema === undefined ? [] : Object.keys(schema);
+};
+
+/** Keys of a section's schema, below the wrapper that gives it a default. */
+export const unwrap = (value: unknown): Record<string, z.ZodType> | undefined => {
+    const schema = value as { shape?: Record<string, z.ZodType>; unwrap?: () => unknown; } | undefined;
+    if (schema?.shape !== undefined) {
+        return schema.shape;
+    }
+    return schema?.unwrap === undefined ? undefined : unwrap(schema.unwrap());
+};
+
+const checkRoles = (file: string, text: string, settings: Settings): SettingsFault[] => {
+    const { instance, doors, control, peers } = settings;
+    const faults: SettingsFault[] = [];
+    const need = (isMissing: boolean, field: string, reason: string): void => {
+        if (isMissing) {
+            faults.push({
+                file,
+                line: locate(text, field.split(".")),
+                field,
+                message: `the key is missing; ${reason}`,
+            });
+        }
+    };
+    const isEntry = instance.roles.includes("entry");
+    const isControl = instance.roles.includes("control");
+    need(isEntry && doors.callers === undefined, "doors.callers", "the role entry needs it");
+    need(isEntry && doors.upstreams === undefined, "doors.upstreams", "the role entry needs it");
+    need(isControl && instance.data === undefined, "instance.data", "the role control needs it");
+    const hasPeers = Object.keys(peers).length > 0;
+    need(hasPeers && doors.peers === undefined, "doors.peers", "there are other instances");
+    need(
+        hasPeers && control.secret === undefined,
+        "control.secret",
+        `set it or ${SECRET_VARIABLE}; there are other instances`,
+    );
+    for (const voter of control.voters) {
+        if (voter !== instance.id && peers[voter] === undefined) {
+            const field = "control.voters";
+            faults.push({
+                file,
+                line: locate(text, field.split(".")),
+                field,
+                message: `no peer has the id "${voter}"`,
+            });
+        }
+    }
+    return faults;
+};
+
+/** Line of a key, or of its section when the key does not stand in the file; 1 when neither does. */
+const locate = (text: string, path: readonly string[]): number => {
+    const [section, key] = path;
+    let current = "";
+    let sectionLine = 1;
+    for (const [index, line] of text.split(/\r?\n/).entries()) {
+        const head = /^\s*\[([^\]]+)\]/.exec(line);
+        if (head) {
+            current = head[1] ?? "";
+            sectionLine = current === section ? index + 1 : sectionLine;
+        }
+        else if (current === section && key !== undefined && line.split("=")[0]?.trim() === key) {
+            return index + 1;
+        }
+    }
+    return sectionLine;
+};
+
+/** The known name with the least edit distance, if it is near enough to be meant. */
+export const nearestName = (text: string, known: readonly string[]): string | undefined => {
+    const ranked = known
+        .map(name => ({ name, distance: editDistance(text, name) }))
+        .sort((a, b) => a.distance - b.distance);
+    const best = ranked[0];
+    return best !== undefined && best.distance <= Math.max(2, text.length / 3) ? best.name : undefined;
+};
+
+const editDistance = (a: string, b: string): number => {
+    let row = [...Array(b.length + 1).keys()];
+    for (let i = 1; i <= a.length; i++) {
+        const next = [i];
+        for (let j = 1; j <= b.length; j++) {
+            const replace = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
+            next.push(Math.min(replace, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
+        }
+        row = next;
+    }
+    return row[b.length] ?? 0;
+};
--- /dev/null
+++ b/src/node/settings/SettingsSchema.ts
@@ -0,0 +1,84 @@
+/**
+ * Every setting of an instance, with its default and a description. The settings file is INI; the type is
+ * inferred from the schema, and `skylarktide settings explain` prints the descriptions.
+ */
+import { z } from "zod";
+import { MAX_REQUEST_MS } from "../../common/slots/SlotTypes.ts";
+
+const address = z.string()
+    .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, "must be IP:PORT, such as 127.0.0.1:8080")
+    .transform(text => {
+        const colon = text.lastIndexOf(":");
+        return { host: text.slice(0, colon).replace(/[[\]]/g, ""), port: Number(text.slice(colon + 1)) };
+    });
+
+/** A host, by IP number, and a port. */
+export type Address = z.output<typeof address>;
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "must be 1 to 64 letters, digits, dots, dashes");
+const count = z.coerce.number("must be a number").int("must be a whole number");
+const flag = z.union([z.boolean(), z.enum(["true", "false"]).transform(text => text === "true")]);
+const list = z.string().transform(text => text.split(",").map(item => item.trim()).filter(item => item !== ""));
+const roles = list.pipe(z.array(z.enum(["entry", "control"], "must be entry, control, or both")).min(1));
+
+/** Sections and keys of the settings file. */
+export const settingsSchema = z.strictObject({
+    instance: z.strictObject({
+        id: name.describe("Name of this instance, unique in the deployment."),
+        deployment: name.describe("Name of the deployment; instances of other deployments are refused."),
+        domain: name.describe("Failure domain in which this instance runs."),
+        region: name.describe("Region of the failure domain."),
+        roles: roles.default(["entry"]).describe("entry, control, or both, separated by a comma."),
+        data: z.string().min(1).optional().describe("Data folder; needed with the role control."),
+    }),
+    doors: z.strictObject({
+        callers: address.optional().describe("Address for callers; needed with the role entry."),
+        admin: address.describe("Address for operators, readiness and metrics."),
+        upstreams: address.optional().describe("Address for announcements of upstreams; needed with the role entry."),
+        peers: address.optional().describe("Address for the other instances; needed when there are any."),
+    }),
+    peers: z.record(name, address).default({})
+        .describe("The other instances: one line each, ID = IP:PORT of their peers door."),
+    control: z.strictObject({
+        voters: list.default([]).describe("Ids of the instances that form the control majority at the first start."),
+        secret: z.string().min(16, "must have at least 16 characters").optional()
+            .describe("Secret that instances prove to each other; better given in SKYLARKTIDE_SECRET."),
+    }).prefault({}),
+    sheet: z.strictObject({
+        bootstrap: z.string().optional().describe("Sheet that is submitted when no sheet is in force yet."),
+    }).prefault({}),
+    limits: z.strictObject({
+        max_body_bytes: count.min(1024).default(4_194_304).describe("Largest request body, in bytes."),
+        max_header_bytes: count.min(1024).default(16_384).describe("Largest header block, in bytes."),
+        max_headers: count.min(8).default(100).describe("Most headers of one request."),
+        max_connections: count.min(1).default(10_000).describe("Most connections of callers at a time."),
+        body_timeout_ms: count.min(10).default(10_000).describe("Time in which a request must have arrived, in ms."),
+        default_deadline_ms: count.min(1).max(MAX_REQUEST_MS).default(60_000)
+            .describe("Deadline of a request that names none, in ms."),
+        require_deadline: flag.default(false).describe("Whether a request without a deadline is refused."),
+        stop_grace_ms: count.min(0).max(600_000).default(MAX_REQUEST_MS)
+            .describe("Longest time that a planned stop waits for requests in flight, in ms."),
+    }).prefault({}),
+    routing: z.strictObject({
+        other_domain_ms: z.coerce.number().min(0).default(2)
+            .describe("Extra time of a request that leaves the failure domain, in ms."),
+        prompt_tokens_per_s: count.min(1).default(5000).describe("Rate at which an engine reads an uncached prompt."),
+    }).prefault({}),
+    upstreams: z.strictObject({
+        key_sha256: z.string().regex(/^[0-9a-f]{64}$/).optional()
+            .describe(
+                "SHA-256 of the key that upstreams must present; without it any caller of the door may announce.",
+            ),
+    }).prefault({}),
+    admin: z.strictObject({
+        key_sha256: z.string().regex(/^[0-9a-f]{64}$/).optional()
+            .describe("SHA-256 of an operator key with the role operate, for the time before the first sheet."),
+    }).prefault({}),
+    log: z.strictObject({
+        level: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info")
+            .describe("Least level that is logged."),
+    }).prefault({}),
+});
+
+/** Checked settings of one instance. */
+export type Settings = z.output<typeof settingsSchema>;
--- /dev/null
+++ b/src/node/storage/DataFolder.ts
@@ -0,0 +1,104 @@
+/**
+ * The data folder of an instance. It belongs to one process at a time, to one instance of one deployment, and
+ * to one version of the format; anything else is refused with a clear message.
+ */
+import { open, readFile, rename, unlink } from "node:fs/promises";
+import { join } from "node:path";
+import { z } from "zod";
+import { routerError } from "../../common/errors/RouterError.ts";
+import { makeFolder, readIfPresent, replaceFile } from "./Files.ts";
+
+/** Version of the format of the files in the folder. */
+const FORMAT_VERSION = 1;
+const FORMAT_FILE = "format.json";
+const LOCK_FILE = "lock";
+/** Position of the start time in /proc/PID/stat, counted behind the command name. */
+const START_TIME_FIELD = 19;
+
+const formatSchema = z.object({ version: z.number(), deployment: z.string(), instance: z.string() });
+const lockSchema = z.object({ pid: z.number(), start: z.string() });
+
+/** A data folder that this process holds. */
+export class DataFolder {
+    public readonly path: string;
+
+    private constructor(path: string) {
+        this.path = path;
+    }
+
+    /** Takes the folder, creating it at the first start. */
+    public static async take(path: string, deployment: string, instance: string): Promise<DataFolder> {
+        await makeFolder(path);
+        await lock(join(path, LOCK_FILE));
+        await checkFormat(join(path, FORMAT_FILE), deployment, instance);
+        return new DataFolder(path);
+    }
+
+    /** A folder below this one. */
+    public async folder(name: string): Promise<string> {
+        const path = join(this.path, name);
+        await makeFolder(path);
+        return path;
+    }
+
+    /** Lets another process take the folder. */
+    public async release(): Promise<void> {
+        await unlink(join(this.path, LOCK_FILE)).catch(() => undefined);
+    }
+}
+
+const lock = async (file: string): Promise<void> => {
+    const holder = await lockHolder(file);
+    if (holder !== undefined) {
+        throw routerError(`the data folder is in use by process ${holder}`, { code: "internal", step: `lock ${file}` });
+    }
+    // A lock of a process that has ended is moved away first, so that of two starting processes one wins.
+    await rename(file, `${file}.${process.pid}`).then(() => unlink(`${file}.${process.pid}`), () => undefined);
+    const handle = await open(file, "wx").catch((err: unknown) => {
+        throw routerError("another process has just taken the data folder", {
+            code: "internal",
+            step: `lock ${file}`,
+            cause: err,
+        });
+    });
+    await handle.writeFile(JSON.stringify({ pid: process.pid, start: await startTime(process.pid) }));
+    await handle.close();
+};
+
+/** Id of the running process that holds the lock. */
+const lockHolder = async (file: string): Promise<number | undefined> => {
+    const content = await readIfPresent(file);
+    if (content === undefined || content.length === 0) {
+        return undefined;
+    }
+    const { pid, start } = lockSchema.parse(JSON.parse(content.toString("utf8")));
+    const isRunning = pid !== process.pid && await startTime(pid) === start;
+    return isRunning ? pid : undefined;
+};
+
+/** Start time of a process in ticks; empty when there is none. It tells a process from a later one with its id. */
+const startTime = async (pid: number): Promise<string> => {
+    try {
+        const stat = await readFile(`/proc/${pid}/stat`, "utf8");
+        return stat.slice(stat.lastIndexOf(")") + 2).split(" ")[START_TIME_FIELD] ?? "";
+    }
+    catch {
+        return "";
+    }
+};
+
+const checkFormat = async (file: string, deployment: string, instance: string): Promise<void> => {
+    const own = { version: FORMAT_VERSION, deployment, instance };
+    const content = await readIfPresent(file);
+    if (content === undefined) {
+        await replaceFile(file, JSON.stringify(own));
+        return;
+    }
+    const found = formatSchema.parse(JSON.parse(content.toString("utf8")));
+    for (const key of ["version", "deployment", "instance"] as const) {
+        if (found[key] !== own[key]) {
+            const message = `the data folder has ${key} "${found[key]}", but this instance has "${own[key]}"`;
+            throw routerError(message, { code: "internal", step: `check ${file}` });
+        }
+    }
+};
--- /dev/null
+++ b/src/node/storage/FileBillStore.ts
@@ -0,0 +1,104 @@
+/**
+ * Bills on disk, one file of records a day. Bills that arrive again are left out, whether they come within
+ * minutes or after a restart.
+ */
+import { readdir } from "node:fs/promises";
+import { join } from "node:path";
+import { type Bill, billSchema } from "../../common/billing/Bill.ts";
+import { type BillStore } from "../../common/billing/BillRecorder.ts";
+import { Mutex } from "../../common/control/Mutex.ts";
+import { RecordFile } from "./RecordFile.ts";
+
+const FILE_PATTERN = /^bills-(\d{4}-\d{2}-\d{2})$/;
+const DATE_LENGTH = 10;
+
+interface Day {
+    readonly file: RecordFile;
+    readonly ids: Set<string>;
+}
+
+/** Bills in a folder. */
+export class FileBillStore implements BillStore {
+    private readonly folder: string;
+    private readonly days = new Map<string, Day>();
+    private readonly disk = new Mutex();
+    private syncs = 0;
+
+    public constructor(folder: string) {
+        this.folder = folder;
+    }
+
+    /** Forced writes since the start. */
+    public get syncCount(): number {
+        return this.syncs;
+    }
+
+    public append(bills: readonly Bill[]): Promise<void> {
+        return this.disk.run(async () => {
+            for (const [date, items] of Map.groupBy(bills, dateOf)) {
+                await this.appendToDay(await this.openDay(date), items);
+            }
+        });
+    }
+
+    /** Bills with `from <= at < to` (ms since the Unix epoch), each once. */
+    public select(from: number, to: number): Promise<Bill[]> {
+        return this.disk.run(async () => {
+            const names = await readdir(this.folder);
+            const bills: Bill[] = [];
+            for (const name of names.sort()) {
+                const date = FILE_PATTERN.exec(name)?.[1];
+                if (date !== undefined && isDayWithin(date, from, to)) {
+                    const values = await readRecords(join(this.folder, name));
+                    bills.push(...values.map(value => billSchema.parse(value)));
+                }
+            }
+            return bills.filter(bill => bill.at >= from && bill.at < to);
+        });
+    }
+
+    public async close(): Promise<void> {
+        await Promise.all([...this.days.values()].map(day => day.file.close()));
+        this.days.clear();
+    }
+
+    private async appendToDay(day: Day, bills: readonly Bill[]): Promise<void> {
+        const fresh = new Map(bills.filter(bill => !day.ids.has(bill.id)).map(bill => [bill.id, bill]));
+        if (fresh.size === 0) {
+            return;
+        }
+        await day.file.append([...fresh.values()]);
+        this.syncs++;
+        for (const id of fresh.keys()) {
+            day.ids.add(id);
+        }
+    }
+
+    private async openDay(date: string): Promise<Day> {
+        const known = this.days.get(date);
+        if (known !== undefined) {
+            return known;
+        }
+        const file = new RecordFile(join(this.folder, `bills-${date}`));
+        const { values } = await file.open();
+        const day = { file, ids: new Set(values.map(value => billSchema.parse(value).id)) };
+        this.days.set(date, day);
+        return day;
+    }
+}
+
+const dateOf = (bill: Bill): string => new Date(bill.at).toISOString().slice(0, DATE_LENGTH);
+
+const DAY_MS = 86_400_000;
+
+const isDayWithin = (date: string, from: number, to: number): boolean => {
+    const start = Date.parse(date);
+    return start < to && start + DAY_MS > from;
+};
+
+const readRecords = async (path: string): Promise<readonly unknown[]> => {
+    const file = new RecordFile(path);
+    const { values } = await file.open();
+    await file.close();
+    return values;
+};
--- /dev/null
+++ b/src/node/storage/FileLogStore.ts
@@ -0,0 +1,120 @@
+/**
+ * The control log on disk: one file of entries, one with the newest snapshot, one with term and vote.
+ */
+import { join } from "node:path";
+import { z } from "zod";
+import { type LogEntry, type LogStore, type Snapshot, type StoredLog } from "../../common/control/LogStore.ts";
+import { routerError } from "../../common/errors/RouterError.ts";
+import { type Log } from "../log/Log.ts";
+import { RecordFile } from "./RecordFile.ts";
+
+const entrySchema = z.object({ index: z.number(), term: z.number(), command: z.record(z.string(), z.unknown()) });
+const voteSchema = z.object({ term: z.number(), votedFor: z.string().optional() });
+const snapshotSchema = z.object({
+    lastIndex: z.number(),
+    lastTerm: z.number(),
+    voters: z.array(z.string()),
+    state: z.record(z.string(), z.unknown()),
+});
+
+/** Control log in a folder. */
+export class FileLogStore implements LogStore {
+    private readonly entries: RecordFile;
+    private readonly snapshots: RecordFile;
+    private readonly votes: RecordFile;
+    private readonly log: Log;
+    /** Index of the first entry in the file of entries. */
+    private firstIndex = 1;
+
+    public constructor(folder: string, log: Log) {
+        this.entries = new RecordFile(join(folder, "entries"));
+        this.snapshots = new RecordFile(join(folder, "snapshot"));
+        this.votes = new RecordFile(join(folder, "vote"));
+        this.log = log;
+    }
+
+    /** Forced writes since the start. */
+    public get syncCount(): number {
+        return this.entries.syncCount + this.snapshots.syncCount + this.votes.syncCount;
+    }
+
+    public async load(): Promise<StoredLog> {
+        const vote = voteSchema.optional().parse(await this.openLast(this.votes, "vote"));
+        const snapshot = snapshotSchema.optional().parse(await this.openLast(this.snapshots, "snapshot"));
+        const { values, cutBytes } = await this.entries.open();
+        this.reportCut("entries", cutBytes);
+        const stored = values.map(value => entrySchema.parse(value));
+        requireNoGap(stored);
+        const base = snapshot?.lastIndex ?? 0;
+        const entries = entriesBehind(stored, snapshot);
+        this.firstIndex = base + 1;
+        if (entries.length !== stored.length) {
+            await this.entries.replace(entries);
+        }
+        return { term: vote?.term ?? 0, votedFor: vote?.votedFor, snapshot, entries };
+    }
+
+    public async saveVote(term: number, votedFor: string | undefined): Promise<void> {
+        await this.votes.replace([{ term, votedFor }]);
+    }
+
+    public async append(entries: readonly LogEntry[]): Promise<void> {
+        await this.entries.append(entries);
+    }
+
+    public async truncate(index: number): Promise<void> {
+        await this.entries.truncate(Math.max(0, index - this.firstIndex));
+    }
+
+    public async saveSnapshot(snapshot: Snapshot, rest: readonly LogEntry[]): Promise<void> {
+        // Entries that the snapshot covers are skipped at load, so a crash between the two writes loses nothing.
+        await this.snapshots.replace([snapshot]);
+        await this.entries.replace(rest);
+        this.firstIndex = snapshot.lastIndex + 1;
+    }
+
+    public async close(): Promise<void> {
+        await Promise.all([this.entries.close(), this.snapshots.close(), this.votes.close()]);
+    }
+
+    private async openLast(file: RecordFile, name: string): Promise<unknown> {
+        const { values, cutBytes } = await file.open();
+        this.reportCut(name, cutBytes);
+        return values.at(-1);
+    }
+
+    private reportCut(name: string, cutBytes: number): void {
+        if (cutBytes > 0) {
+            this.log.warn("An unfinished write at the end of a file was cut off.", { file: name, bytes: cutBytes });
+        }
+    }
+}
+
+const requireNoGap = (entries: readonly LogEntry[]): void => {
+    let expected = entries[0]?.index ?? 0;
+    for (const entry of entries) {
+        if (entry.index !== expected) {
+            const message = `the control log has entry ${entry.index} where ${expected} is due`;
+            throw routerError(message, { code: "internal", step: "read control log" });
+        }
+        expected++;
+    }
+};
+
+/** Entries that continue the snapshot. A crash while a snapshot was installed can leave others in the file. */
+const entriesBehind = (entries: readonly LogEntry[], snapshot: Snapshot | undefined): LogEntry[] => {
+    const base = snapshot?.lastIndex ?? 0;
+    const behind = entries.filter(entry => entry.index > base);
+    const first = behind[0];
+    const joint = entries.find(entry => entry.index === base);
+    const isOther = joint !== undefined && joint.term !== snapshot?.lastTerm;
+    const isEarlier = first !== undefined && first.term < (snapshot?.lastTerm ?? 0);
+    if (isOther || isEarlier) {
+        return [];
+    }
+    if (first !== undefined && first.index !== base + 1) {
+        const message = `the control log begins at entry ${first.index} behind a snapshot of ${base}`;
+        throw routerError(message, { code: "internal", step: "read control log" });
+    }
+    return behind;
+};
--- /dev/null
+++ b/src/node/time/SystemClock.ts
@@ -0,0 +1,22 @@
+/**
+ * The clock of the operating system. It is the only place that reads the time or sets a timer.
+ */
+import { type Disposable } from "../../common/lifecycle/Disposable.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+
+/** Real time. Timers do not keep the process alive. */
+export class SystemClock implements Clock {
+    public now(): number {
+        return Date.now();
+    }
+
+    public monotonic(): number {
+        return performance.now();
+    }
+
+    public schedule(delayMs: number, run: () => void): Disposable {
+        const timer = setTimeout(run, delayMs);
+        timer.unref();
+        return { dispose: () => clearTimeout(timer) };
+    }
+}
--- /dev/null
+++ b/src/node/upstreams/UpstreamDoor.ts
@@ -0,0 +1,99 @@
+/**
+ * Where upstreams announce themselves, report their load and cache, and say that they leave. Faulty
+ * messages are answered with the field that is wrong and change nothing.
+ */
+import { timingSafeEqual } from "node:crypto";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type z } from "zod";
+import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import {
+    type Announcement,
+    announcementSchema,
+    type CacheEvent,
+    cacheEventSchema,
+    type Leaving,
+    leavingSchema,
+    type LoadReport,
+    loadReportSchema,
+} from "../../common/upstreams/Upstream.ts";
+import { bearerKey, hashKey } from "../entry/RequestContext.ts";
+import { parseJson, readBody, sendJson, sendProblem } from "../http/HttpBody.ts";
+
+/** Largest message of an upstream, in bytes. */
+const MAX_MESSAGE_BYTES = 262_144;
+/** How often upstreams repeat their announcement, in ms. */
+const HEARTBEAT_MS = 1000;
+
+/** Where accepted messages go. */
+export interface UpstreamSink {
+    /** Returns false when this start of the upstream has left already. */
+    announce(announcement: Announcement): boolean;
+    report(report: LoadReport): void;
+    cache(event: CacheEvent): void;
+    leave(leaving: Leaving): void;
+}
+
+/** Handles the messages of upstreams. */
+export class UpstreamDoor {
+    private readonly sink: UpstreamSink;
+    /** SHA-256 of the key that upstreams present, in hex; undefined admits every caller of the door. */
+    private readonly keyHash: string | undefined;
+
+    public constructor(sink: UpstreamSink, keyHash: string | undefined) {
+        this.sink = sink;
+        this.keyHash = keyHash;
+    }
+
+    public readonly handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+        try {
+            this.authenticate(req);
+            if (req.method !== "POST") {
+                throw routerError("the resource takes POST", { code: "methodNotAllowed", step: "read message" });
+            }
+            const body = parseJson(await readBody(req, MAX_MESSAGE_BYTES));
+            sendJson(res, 200, this.accept(req.url ?? "", body));
+        }
+        catch (err) {
+            sendProblem(req, res, toRouterError(err, { code: "internal", step: "read message" }));
+        }
+    };
+
+    private accept(path: string, body: unknown): object {
+        switch (path) {
+            case "/upstream/v1/announce": {
+                const isTaken = this.sink.announce(check(announcementSchema, body));
+                return { state: isTaken ? "announced" : "left", repeatAfterMs: HEARTBEAT_MS };
+            }
+            case "/upstream/v1/load":
+                this.sink.report(check(loadReportSchema, body));
+                return {};
+            case "/upstream/v1/cache":
+                this.sink.cache(check(cacheEventSchema, body));
+                return {};
+            case "/upstream/v1/leave":
+                this.sink.leave(check(leavingSchema, body));
+                return {};
+            default:
+                throw routerError(`no resource at "${path.slice(0, 100)}"`, { code: "notFound", step: "read message" });
+        }
+    }
+
+    private authenticate(req: IncomingMessage): void {
+        if (this.keyHash === undefined) {
+            return;
+        }
+        const hash = Buffer.from(hashKey(bearerKey(req.headers) ?? ""));
+        if (!timingSafeEqual(hash, Buffer.from(this.keyHash))) {
+            throw routerError("the upstream's key is unknown", { code: "unknownKey", step: "authenticate" });
+        }
+    }
+}
+
+const check = <T>(schema: z.ZodType<T>, body: unknown): T => {
+    const result = schema.safeParse(body);
+    if (result.success) {
+        return result.data;
+    }
+    const faults = result.error.issues.map(issue => `field "${issue.path.join(".")}": ${issue.message}`);
+    throw routerError(faults.join("; "), { code: "malformedRequest", step: "read message" });
+};
--- /dev/null
+++ b/tools/Build.ts
@@ -0,0 +1,48 @@
+/**
+ * Builds the one binary: bundles the program to one CommonJS file and puts it into a copy of the runtime.
+ */
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import { join } from "node:path";
+
+const OUT = "dist";
+const BUNDLE = join(OUT, "skylarktide.cjs");
+const BLOB = join(OUT, "skylarktide.blob");
+const BINARY = join(OUT, "skylarktide");
+const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+/** Transports, serializers and probes of libraries that the program does not use. */
+const external = [
+    "kafka-node",
+    "thrift",
+    "avsc",
+    "protobufjs",
+    "dtrace-provider",
+    "mv",
+    "source-map-support",
+    "./src/build/*",
+];
+
+mkdirSync(OUT, { recursive: true });
+await build({
+    entryPoints: ["src/cli/Main.ts"],
+    outfile: BUNDLE,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node24",
+    external,
+    logLevel: "error",
+});
+const seaConfig = join(OUT, "sea.json");
+writeFileSync(seaConfig, JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }));
+execFileSync(process.execPath, ["--experimental-sea-config", seaConfig], { stdio: "pipe" });
+copyFileSync(process.execPath, BINARY);
+chmodSync(BINARY, 0o755);
+const postject = createRequire(import.meta.url).resolve("postject/dist/cli.js");
+execFileSync(process.execPath, [postject, BINARY, "NODE_SEA_BLOB", BLOB, "--sentinel-fuse", SEA_FUSE], {
+    stdio: "pipe",
+});
+console.log(`built ${BINARY}`);
