--- a/src/node/http/HttpBody.ts
+++ b/src/node/http/HttpBody.ts
@@ -28,7 +28,12 @@
             () => resolve(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)),
         );
         req.on("error", err => reject(cutOff(err)));
-        req.on("close", () => reject(cutOff()));
+        req.on("close", () => {
+            // Every request closes in the end; an error is only made for one that had not arrived.
+            if (!req.complete) {
+                reject(cutOff());
+            }
+        });
     });
 };
 
