--- /dev/null
+++ b/addons/fakes/SeededRandom.ts
@@ -0,0 +1,40 @@
+/**
+ * Random numbers that are the same for a seed.
+ */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+const SKIPPED_NUMBERS = 32;
+
+/** Source of random numbers. */
+export class SeededRandom {
+    private readonly generator: ReturnType<typeof xoroshiro128plus>;
+
+    public constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+        // The first numbers of neighbouring seeds are alike.
+        for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) {
+            this.generator.next();
+        }
+    }
+
+    /** Uniform in [0, 1). */
+    public readonly next = (): number => (this.generator.next() >>> 0) / 2 ** 32;
+
+    /** Uniform whole number in [0, limit). */
+    public below(limit: number): number {
+        return Math.floor(this.next() * limit);
+    }
+
+    public pick<T>(items: readonly T[]): T {
+        return items[this.below(items.length)] as T;
+    }
+
+    /** Exponentially distributed with the given mean. */
+    public exponential(mean: number): number {
+        return -Math.log(1 - this.next()) * mean;
+    }
+
+    public chance(probability: number): boolean {
+        return this.next() < probability;
+    }
+}
--- a/bench/SimRequests.ts
+++ b/addons/fakes/SimRequests.ts
@@ -1,8 +1,8 @@
 /**
  * Requests of simulated callers, with a deadline on the injected clock.
  */
-import { type AttemptRequest, type Work } from "../src/common/routing/Attempts.ts";
-import { type Clock } from "../src/common/time/Clock.ts";
+import { type AttemptRequest, type Work } from "../../src/common/routing/Attempts.ts";
+import { type Clock } from "../../src/common/time/Clock.ts";
 
 /** A caller's request for the attempts. */
 export const simRequest = (
@@ -31,10 +31,11 @@
 };
 
 /** Work on `target` that may be repeated. */
-export const simWork = (target: string, cost = 100): Work => ({
+export const simWork = (target: string, fingerprint = "", cost = 100): Work => ({
     target,
     cost,
     prefixes: [],
     prefillMs: 0,
     isIdempotent: true,
+    fingerprint,
 });
--- a/bench/SimUpstream.ts
+++ b/addons/fakes/SimUpstream.ts
@@ -2,9 +2,9 @@
  * A stand-in for an upstream on the injected clock, at the interface of announcements and requests. It knows
  * what it really bears, and counts every moment in which it was given more.
  */
-import { routerError } from "../src/common/errors/RouterError.ts";
-import { type Clock, sleep } from "../src/common/time/Clock.ts";
-import { type Announcement, announcementSchema, type LoadReport } from "../src/common/upstreams/Upstream.ts";
+import { routerError } from "../../src/common/errors/RouterError.ts";
+import { type Clock, sleep } from "../../src/common/time/Clock.ts";
+import { type Announcement, announcementSchema, type LoadReport } from "../../src/common/upstreams/Upstream.ts";
 
 /** What a simulated upstream is made of. */
 export interface SimUpstreamOptions {
@@ -43,6 +43,8 @@
     /** Ids of all requests that it began, in order. */
     public readonly log: string[] = [];
     public isUp = false;
+    /** It has said that it leaves and announces itself no more. */
+    public isLeaving = false;
     private readonly clock: Clock;
     private startId = "";
     private seq = 0;
@@ -156,6 +158,7 @@
             run: "unknown",
             step: "read",
             peer: this.options.id,
+            isBroken: true,
         });
     }
 }
--- a/bench/World.ts
+++ b/addons/fakes/World.ts
@@ -2,18 +2,18 @@
  * A few instance cores on one injected clock, with simulated upstreams and a network that can be cut. It
  * holds no decisions of its own: all of them are made by the shipped modules.
  */
-import { MemoryLogStore } from "../addons/fakes/MemoryLogStore.ts";
-import { MemoryHub, type MemoryNetwork } from "../addons/fakes/MemoryNetwork.ts";
-import { type Row, sheetText } from "../addons/fakes/SheetText.ts";
-import { type Bill } from "../src/common/billing/Bill.ts";
-import { type BillStore } from "../src/common/billing/BillRecorder.ts";
-import { type LogStore } from "../src/common/control/LogStore.ts";
-import { InstanceCore } from "../src/common/instance/InstanceCore.ts";
-import { type Member } from "../src/common/membership/Member.ts";
-import { type Attempt, type AttemptRequest, Attempts, type Work } from "../src/common/routing/Attempts.ts";
-import { readSheet } from "../src/common/sheet/SheetReader.ts";
-import { ManualClock } from "../src/common/time/ManualClock.ts";
-import { SeededRandom } from "./Scenario.ts";
+import { type Bill } from "../../src/common/billing/Bill.ts";
+import { type BillStore } from "../../src/common/billing/BillRecorder.ts";
+import { type LogStore } from "../../src/common/control/LogStore.ts";
+import { InstanceCore } from "../../src/common/instance/InstanceCore.ts";
+import { type Member } from "../../src/common/membership/Member.ts";
+import { type Attempt, type AttemptRequest, Attempts, type Work } from "../../src/common/routing/Attempts.ts";
+import { readSheet } from "../../src/common/sheet/SheetReader.ts";
+import { ManualClock } from "../../src/common/time/ManualClock.ts";
+import { MemoryLogStore } from "./MemoryLogStore.ts";
+import { MemoryHub, type MemoryNetwork } from "./MemoryNetwork.ts";
+import { SeededRandom } from "./SeededRandom.ts";
+import { type Row, sheetText } from "./SheetText.ts";
 import { SimUpstream, type SimUpstreamOptions } from "./SimUpstream.ts";
 
 /** One instance of a world. */
@@ -117,7 +117,10 @@
             logStore: plan.isControl ? this.storeOf(id) : undefined,
             billStore: plan.isControl ? this.billStoreOf(id) : undefined,
         });
-        const attempts = new Attempts(this.clock, core.dispatcher, { onDispatch: ignore, onFailure: ignore });
+        const attempts = new Attempts(this.clock, core.dispatcher, core.suspects, {
+            onDispatch: ignore,
+            onFailure: ignore,
+        });
         const node = { plan, core, network, attempts };
         this.nodes.set(id, node);
         void core.start().then(() => this.started.add(core));
@@ -260,7 +263,7 @@
             const near = this.running.filter(node => node.plan.domain === domain && !this.isCut(id, node.plan.id));
             const far = this.running.filter(node => !this.isCut(id, node.plan.id));
             const reachable = near.length > 0 ? near : far;
-            if (upstream.isUp && reachable.length > 0) {
+            if (upstream.isUp && !upstream.isLeaving && reachable.length > 0) {
                 send(this.random.pick(reachable));
             }
         });
--- /dev/null
+++ b/addons/replay/Trace.ts
@@ -0,0 +1,148 @@
+/**
+ * The trace format: one JSON event a line, each at a time and with the outcome that must follow.
+ */
+import { z } from "zod";
+
+const at = z.number().nonnegative();
+const outcome = z.enum(["answered", "refused", "unknown"]);
+const rows = z.array(z.record(z.string(), z.union([z.string(), z.number()])));
+
+/** What must have become of a request. Fields that are left out are not checked. */
+const expectation = z.strictObject({
+    outcome: outcome.optional(),
+    /** `model@version` that answered. */
+    version: z.string().optional(),
+    upstream: z.string().optional(),
+    code: z.string().optional(),
+    run: z.enum(["not_run", "unknown", "ran"]).optional(),
+    isRepeat: z.boolean().optional(),
+    /** Latest time from the request to its outcome, in ms. */
+    withinMs: z.number().optional(),
+});
+
+export const traceEventSchema = z.discriminatedUnion("do", [
+    z.strictObject({
+        do: z.literal("start"),
+        about: z.string(),
+        seed: z.number().int(),
+        instances: z.array(
+            z.strictObject({ id: z.string(), domain: z.string(), isControl: z.boolean().default(false) }),
+        ),
+        rows,
+    }),
+    z.strictObject({
+        do: z.literal("upstream"),
+        at,
+        id: z.string(),
+        domain: z.string(),
+        versions: z.array(z.string()).default([]),
+        service: z.string().optional(),
+        capacity: z.number().int().positive(),
+        coldCapacity: z.number().int().positive().optional(),
+        warmMs: z.number().optional(),
+    }),
+    z.strictObject({
+        do: z.literal("request"),
+        at,
+        id: z.string(),
+        instance: z.string(),
+        account: z.string(),
+        /** Number of equal requests, all of which must have the expected outcome. */
+        count: z.number().int().positive().default(1),
+        model: z.string().optional(),
+        service: z.string().optional(),
+        session: z.string().optional(),
+        key: z.string().optional(),
+        body: z.string().default(""),
+        isIdempotent: z.boolean().default(true),
+        isPoison: z.boolean().default(false),
+        workMs: z.number().default(50),
+        deadlineMs: z.number().default(10_000),
+        expect: expectation,
+    }),
+    z.strictObject({
+        do: z.literal("sheet"),
+        at,
+        number: z.number().int(),
+        rows,
+        expect: z.enum(["accepted", "repeated", "conflict", "outdated"]),
+    }),
+    z.strictObject({
+        do: z.literal("change"),
+        at,
+        kind: z.enum(["drain", "undrain", "withdraw", "restore"]),
+        target: z.enum(["domain", "upstream", "instance"]).optional(),
+        name: z.string().optional(),
+        model: z.string().optional(),
+        version: z.string().optional(),
+    }),
+    z.strictObject({ do: z.literal("crash"), at, upstream: z.string() }),
+    z.strictObject({ do: z.literal("restart"), at, upstream: z.string() }),
+    z.strictObject({ do: z.literal("leave"), at, upstream: z.string() }),
+    z.strictObject({ do: z.literal("kill"), at, instance: z.string() }),
+    z.strictObject({ do: z.literal("revive"), at, instance: z.string() }),
+    z.strictObject({ do: z.literal("cut"), at, domain: z.string() }),
+    z.strictObject({ do: z.literal("heal"), at }),
+    /** What must hold at a time, as seen from outside. */
+    z.strictObject({
+        do: z.literal("expect"),
+        at,
+        /** Most requests that the upstream has begun so far. */
+        upstream: z.string().optional(),
+        startedAtMost: z.number().int().optional(),
+        startedAtLeast: z.number().int().optional(),
+        crashesAtMost: z.number().int().optional(),
+        overloads: z.number().int().optional(),
+        /** Times that requests whose id begins so were begun on all upstreams. */
+        request: z.string().optional(),
+        ran: z.number().int().optional(),
+        /** Bills in the ledger of the request, united over all disks. */
+        bills: z.number().int().optional(),
+        /** Sheet number that must be in force on every running instance. */
+        sheet: z.number().int().optional(),
+    }),
+]);
+
+/** One event of a trace. */
+export type TraceEvent = z.infer<typeof traceEventSchema>;
+/** What must have become of a request. */
+export type Expectation = z.infer<typeof expectation>;
+
+/** An event with its line in the file. */
+export interface TraceLine {
+    readonly line: number;
+    readonly event: TraceEvent;
+}
+
+/** A trace, or its faults as `line: field: message`. */
+export interface ParsedTrace {
+    readonly lines: readonly TraceLine[];
+    readonly faults: readonly string[];
+}
+
+/** Reads a trace. */
+export const parseTrace = (text: string): ParsedTrace => {
+    const lines: TraceLine[] = [];
+    const faults: string[] = [];
+    for (const [index, content] of text.split("\n").entries()) {
+        if (content.trim() === "") {
+            continue;
+        }
+        const line = index + 1;
+        try {
+            const result = traceEventSchema.safeParse(JSON.parse(content));
+            if (result.success) {
+                lines.push({ line, event: result.data });
+                continue;
+            }
+            faults.push(...result.error.issues.map(issue => `${line}: ${issue.path.join(".")}: ${issue.message}`));
+        }
+        catch (err) {
+            faults.push(`${line}: : ${(err as Error).message}`);
+        }
+    }
+    if (faults.length === 0 && lines[0]?.event.do !== "start") {
+        faults.push("1: do: the first event must be \"start\"");
+    }
+    return { lines, faults };
+};
--- /dev/null
+++ b/addons/replay/TraceRunner.ts
@@ -0,0 +1,327 @@
+/**
+ * Replays a trace on instance cores with simulated upstreams and an injected clock, and lists every outcome
+ * that is not as stated.
+ */
+import { isRouterError } from "../../src/common/errors/RouterError.ts";
+import { type Attempt } from "../../src/common/routing/Attempts.ts";
+import { VersionPolicy } from "../../src/common/routing/VersionPolicy.ts";
+import { readSheet } from "../../src/common/sheet/SheetReader.ts";
+import { serviceTarget } from "../../src/common/upstreams/Upstream.ts";
+import { sheetText } from "../fakes/SheetText.ts";
+import { simRequest } from "../fakes/SimRequests.ts";
+import { World, type WorldNode } from "../fakes/World.ts";
+import { type Expectation, parseTrace, type TraceEvent, type TraceLine } from "./Trace.ts";
+
+/** Time after the last event for what is still under way, in ms. */
+const TAIL_MS = 5000;
+const CHANGE_TIMEOUT_MS = 10_000;
+
+/** What a replay found. */
+export interface ReplayResult {
+    readonly about: string;
+    readonly events: number;
+    readonly mismatches: readonly string[];
+}
+
+type Event<K extends TraceEvent["do"]> = Extract<TraceEvent, { do: K; }>;
+
+/** What became of a request. */
+interface Seen {
+    readonly outcome: "answered" | "refused" | "unknown";
+    readonly version?: string;
+    readonly upstream?: string;
+    readonly code?: string;
+    readonly run?: string;
+    readonly isRepeat?: boolean;
+    readonly tookMs: number;
+}
+
+/** Replays the text of a trace. Throws when it has faults. */
+export const replayTrace = async (text: string): Promise<ReplayResult> => {
+    const { lines, faults } = parseTrace(text);
+    const [first, ...rest] = lines;
+    if (faults.length > 0 || first?.event.do !== "start") {
+        throw new Error(faults.join("\n"));
+    }
+    const runner = new TraceRunner(first.event);
+    await runner.run(first.event, rest);
+    return { about: first.event.about, events: lines.length, mismatches: runner.mismatches };
+};
+
+class TraceRunner {
+    public readonly mismatches: string[] = [];
+    private readonly world: World;
+
+    public constructor(start: Event<"start">) {
+        this.world = new World(start.seed, start.instances);
+    }
+
+    public async run(start: Event<"start">, lines: readonly TraceLine[]): Promise<void> {
+        await this.world.start(start.rows);
+        const zero = this.world.now;
+        const pending: Promise<void>[] = [];
+        const ordered = [...lines].sort((a, b) => timeOf(a.event) - timeOf(b.event));
+        for (const { line, event } of ordered) {
+            await this.world.advance(Math.max(0, zero + timeOf(event) - this.world.now));
+            pending.push(this.apply(line, event));
+        }
+        await this.world.advance(TAIL_MS);
+        await this.world.wait(Promise.all(pending));
+        this.world.dispose();
+    }
+
+    private async apply(line: number, event: TraceEvent): Promise<void> {
+        const { world } = this;
+        switch (event.do) {
+            case "upstream":
+                this.addUpstream(event);
+                return;
+            case "request":
+                await Promise.all([...Array(event.count).keys()].map(index => this.checkRequest(line, event, index)));
+                return;
+            case "sheet":
+                await this.submitSheet(line, event);
+                return;
+            case "change":
+                await this.submitChange(event);
+                return;
+            case "crash":
+                world.upstream(event.upstream).crash();
+                return;
+            case "restart":
+                world.upstream(event.upstream).start();
+                return;
+            case "leave":
+                this.leave(event.upstream);
+                return;
+            case "kill":
+                world.killInstance(event.instance);
+                return;
+            case "revive":
+                world.startInstance(event.instance);
+                return;
+            case "cut":
+                world.cutDomain(event.domain);
+                return;
+            case "heal":
+                world.heal();
+                return;
+            case "expect":
+                this.checkWorld(line, event);
+                return;
+            case "start":
+                this.mismatches.push(`line ${line}: a trace starts once`);
+        }
+    }
+
+    private addUpstream(event: Event<"upstream">): void {
+        const versions = event.versions.map(key => {
+            const [model = "", version = ""] = key.split("@");
+            return { model, version };
+        });
+        const { id, domain, service, capacity, coldCapacity = capacity, warmMs = 0 } = event;
+        this.world.addUpstream({
+            id,
+            domain,
+            versions,
+            capacity,
+            coldCapacity,
+            warmMs,
+            ...(service === undefined ? {} : { service }),
+        });
+    }
+
+    private leave(id: string): void {
+        const upstream = this.world.upstream(id);
+        const { startId } = upstream.announcement();
+        upstream.isLeaving = true;
+        this.world.random.pick(this.world.ready).core.relay.leave({ id, startId });
+    }
+
+    private async submitSheet(line: number, event: Event<"sheet">): Promise<void> {
+        const text = sheetText(event.number, event.rows);
+        const { sheet, faults } = readSheet(text);
+        if (sheet === undefined) {
+            this.mismatches.push(`line ${line}: the sheet has faults: ${JSON.stringify(faults)}`);
+            return;
+        }
+        const at = this.world.clock.now();
+        const command = {
+            kind: "submitSheet",
+            number: event.number,
+            text,
+            sha256: text,
+            sheet,
+            by: "trace",
+            reason: "",
+            at,
+        };
+        const { outcome } = await this.world.ready[0]!.core.client.submit(command, CHANGE_TIMEOUT_MS);
+        this.compare(line, "sheet", event.expect, outcome["kind"]);
+    }
+
+    private async submitChange({ kind, target, name, model, version }: Event<"change">): Promise<void> {
+        const what = target === undefined ? { model, version } : { target, name };
+        const command = { kind, ...what, by: "trace", reason: "", at: this.world.clock.now() };
+        await this.world.ready[0]!.core.client.submit(command, CHANGE_TIMEOUT_MS);
+    }
+
+    private async checkRequest(line: number, event: Event<"request">, index: number): Promise<void> {
+        const seen = await this.request(event, index);
+        for (const [field, expected] of Object.entries(event.expect) as [keyof Expectation, unknown][]) {
+            if (field === "withinMs") {
+                if (seen.tookMs > Number(expected)) {
+                    this.mismatches.push(
+                        `line ${line}: ${event.id} took ${Math.round(seen.tookMs)} ms, not at most ${String(expected)}`,
+                    );
+                }
+                continue;
+            }
+            this.compare(line, `${event.id} ${field}`, expected, seen[field]);
+        }
+    }
+
+    private async request(event: Event<"request">, index: number): Promise<Seen> {
+        const startedAt = this.world.now;
+        const took = (): number => this.world.now - startedAt;
+        try {
+            return { ...await this.execute(event, index), outcome: "answered", tookMs: took() };
+        }
+        catch (err) {
+            if (!isRouterError(err)) {
+                throw err;
+            }
+            const outcome = err.run === "not_run" ? "refused" : "unknown";
+            return { outcome, code: err.code, run: err.run, tookMs: took() };
+        }
+    }
+
+    private async execute(event: Event<"request">, index: number): Promise<Omit<Seen, "outcome" | "tookMs">> {
+        const node = this.world.node(event.instance);
+        const { core } = node;
+        const { table } = core.follower;
+        const account = table.accounts.find(item => item.name === event.account);
+        if (account === undefined) {
+            throw new Error(`no account ${event.account} in the sheet`);
+        }
+        const id = `${event.id}.${index}`;
+        const version = event.model === undefined ? undefined : await this.policyOf(node).choose({
+            id,
+            table,
+            account,
+            model: event.model,
+            session: event.session,
+        });
+        const target = version?.version.key ?? serviceTarget(event.service ?? "");
+        const fingerprint = `${event.account} ${event.body === "" ? event.id : event.body}`;
+        const run = (): Promise<Attempt> => this.send(node, event, id, account, target, fingerprint);
+        const bill = async (attempt: Attempt): Promise<Attempt> => {
+            await core.bills.record(billOf(event, id, target, this.world.clock.now()));
+            return attempt;
+        };
+        const key = event.key;
+        if (key !== undefined && !event.isIdempotent) {
+            const req = { account: event.account, key, bodyHash: fingerprint, claimId: id, leftMs: event.deadlineMs };
+            const { isRepeat } = await core.keyed.run(req, async () => {
+                await bill(await run());
+                return { status: 200, contentType: "text/plain", body: "" };
+            });
+            return { isRepeat };
+        }
+        const attempt = await bill(await run());
+        const upstream = attempt.assignment.upstream.announcement.id;
+        return { upstream, ...(version === undefined ? {} : { version: version.version.key }) };
+    }
+
+    private send(
+        node: WorldNode,
+        event: Event<"request">,
+        id: string,
+        account: { readonly name: string; readonly weight: number; },
+        target: string,
+        fingerprint: string,
+    ): Promise<Attempt> {
+        const req = simRequest(this.world.clock, id, account, event.deadlineMs);
+        const work = { target, cost: 100, prefixes: [], prefillMs: 0, isIdempotent: event.isIdempotent, fingerprint };
+        return this.world.request(node, req, work, event.workMs, event.isPoison);
+    }
+
+    private policyOf(node: WorldNode): VersionPolicy {
+        const { follower, sessions, dispatcher } = node.core;
+        return new VersionPolicy({ follower, sessions, hasUpstreams: target => dispatcher.hasUpstreams(target) });
+    }
+
+    private checkWorld(line: number, event: Event<"expect">): void {
+        if (event.upstream !== undefined) {
+            this.checkUpstream(line, event, event.upstream);
+        }
+        if (event.request !== undefined) {
+            this.checkRuns(line, event, event.request);
+        }
+        if (event.sheet !== undefined) {
+            for (const node of this.world.running) {
+                this.compare(
+                    line,
+                    `sheet on ${node.plan.id}`,
+                    event.sheet,
+                    node.core.follower.configuration.sheet?.number,
+                );
+            }
+        }
+    }
+
+    private checkUpstream(line: number, event: Event<"expect">, id: string): void {
+        const upstream = this.world.upstream(id);
+        const { startedAtMost = Infinity, startedAtLeast = 0, crashesAtMost = Infinity, overloads } = event;
+        if (upstream.started > startedAtMost || upstream.started < startedAtLeast) {
+            this.mismatches.push(`line ${line}: ${id} began ${upstream.started} requests`);
+        }
+        if (upstream.crashes > crashesAtMost) {
+            this.mismatches.push(`line ${line}: ${id} crashed ${upstream.crashes} times`);
+        }
+        if (overloads !== undefined) {
+            this.compare(line, `overloads of ${id}`, overloads, upstream.overloads);
+        }
+    }
+
+    private checkRuns(line: number, event: Event<"expect">, request: string): void {
+        const begins = this.world.upstreams.flatMap(upstream => upstream.log).filter(id => id.startsWith(request));
+        if (event.ran !== undefined) {
+            this.compare(line, `runs of ${request}`, event.ran, begins.length);
+        }
+        if (event.bills !== undefined) {
+            const ids = new Set([...this.world.bills.values()].flatMap(bills => [...bills.keys()]));
+            this.compare(
+                line,
+                `bills of ${request}`,
+                event.bills,
+                [...ids].filter(id => id.startsWith(request)).length,
+            );
+        }
+    }
+
+    private compare(line: number, what: string, expected: unknown, actual: unknown): void {
+        if (expected !== actual) {
+            this.mismatches.push(`line ${line}: ${what} is ${String(actual)}, not ${String(expected)}`);
+        }
+    }
+}
+
+const timeOf = (event: TraceEvent): number => event.do === "start" ? 0 : event.at;
+
+const billOf = (
+    event: Event<"request">,
+    id: string,
+    target: string,
+    at: number,
+): Parameters<WorldNode["core"]["bills"]["record"]>[0] => ({
+    id: event.key === undefined ? id : `${event.id}.key`,
+    account: event.account,
+    target,
+    at,
+    promptTokens: 1,
+    completionTokens: 1,
+    cost: 1,
+    items: [],
+    isComplete: true,
+});
--- a/bench/Scenario.ts
+++ b/bench/Scenario.ts
@@ -1,7 +1,6 @@
 /**
  * What a bench scenario is, and how it is judged.
  */
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import bounds from "./bounds.json" with { type: "json" };
 
 /** Counts of broken invariants, and measured figures. A figure that was not measured is absent. */
@@ -45,42 +44,6 @@
     return broken;
 };
 
-const SKIPPED_NUMBERS = 32;
-
-/** Source of random numbers that is the same for a seed. */
-export class SeededRandom {
-    private readonly generator: ReturnType<typeof xoroshiro128plus>;
-
-    public constructor(seed: number) {
-        this.generator = xoroshiro128plus(seed);
-        // The first numbers of neighbouring seeds are alike.
-        for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) {
-            this.generator.next();
-        }
-    }
-
-    /** Uniform in [0, 1). */
-    public readonly next = (): number => (this.generator.next() >>> 0) / 2 ** 32;
-
-    /** Uniform whole number in [0, limit). */
-    public below(limit: number): number {
-        return Math.floor(this.next() * limit);
-    }
-
-    public pick<T>(items: readonly T[]): T {
-        return items[this.below(items.length)] as T;
-    }
-
-    /** Exponentially distributed with the given mean. */
-    public exponential(mean: number): number {
-        return -Math.log(1 - this.next()) * mean;
-    }
-
-    public chance(probability: number): boolean {
-        return this.next() < probability;
-    }
-}
-
 /** Value below which the fraction `q` of the sorted or unsorted values lies. */
 export const quantile = (values: readonly number[], q: number): number => {
     const sorted = [...values].sort((a, b) => a - b);
--- a/bench/scenarios/Path.ts
+++ b/bench/scenarios/Path.ts
@@ -16,9 +16,12 @@
 const WARM_UP_REQUESTS = 1500;
 const REQUESTS = 12_000;
 const ROUNDS = 3;
-/** Peak rate of the letter, in requests a second. */
-const PEAK_RATE = Number(process.env["RATE"] ?? 990);
-const STREAM_SECONDS = Number(process.env["SSEC"] ?? 4);
+/** Peak rate of the letter for the whole system, in requests a second. */
+const PEAK_RATE = 990;
+const PEAK_SECONDS = 4;
+/** Streams of 252 tokens begun each second; the letter's peak is 3 a second for each of 340 nodes. */
+const STREAM_RATE = 100;
+const STREAM_SECONDS = 4;
 
 interface Target {
     readonly url: string;
@@ -90,7 +93,12 @@
     for (let index = 0; index < ROUNDS; index++) {
         rounds.push({ router: await closed(router, REQUESTS), bare: await closed(bare, REQUESTS) });
     }
-    const stream = await measureStreams(load, router, seed);
+    const peak = await measureOpenLoop(load, router, seed, { rate: PEAK_RATE, seconds: PEAK_SECONDS, isStream: false });
+    const stream = await measureOpenLoop(load, router, seed, {
+        rate: STREAM_RATE,
+        seconds: STREAM_SECONDS,
+        isStream: true,
+    });
     const ratios = rounds.map(item => item.router.perSecond / item.bare.perSecond);
     const addedAt = (q: number): number =>
         quantile(rounds.map(item => quantile(item.router.latenciesMs, q) / quantile(item.bare.latenciesMs, q)), 0.5);
@@ -105,28 +113,31 @@
             added_p99_ratio: round(addedAt(0.99)),
             ttft_p95_ms: round(quantile(stream.result.firstTokenMs, 0.95)),
             gap_p95_ms: round(quantile(stream.result.gapMs, 0.95)),
+            plain_990_p95_ms: round(quantile(peak.result.latenciesMs, 0.95)),
+            plain_990_cores: round(peak.cores),
             stream_rate_per_s: round(stream.result.perSecond, 1),
-            stream_cpu_cores: round(stream.cores),
+            stream_cores: round(stream.cores),
         },
     };
 };
 
-/** Streams at the letter's peak rate, and the processor time that the measured thread needs for them. */
-const measureStreams = async (
+interface OpenLoop {
+    readonly rate: number;
+    readonly seconds: number;
+    readonly isStream: boolean;
+}
+
+/** Load at a fixed rate, and the part of its time for which the measured thread is busy. */
+const measureOpenLoop = async (
     load: Thread,
     target: Target,
     seed: number,
+    { rate, seconds, isStream }: OpenLoop,
 ): Promise<{ result: LoadResult; cores: number; }> => {
     const before = performance.eventLoopUtilization();
-    const result = await load.ask<LoadResult>({
-        kind: "load",
-        ...target,
-        requests: PEAK_RATE * STREAM_SECONDS,
-        concurrency: 2000,
-        ratePerS: PEAK_RATE,
-        isStream: true,
-        seed,
-    });
+    const requests = rate * seconds;
+    const plan: LoadPlan = { kind: "load", ...target, requests, concurrency: 2000, ratePerS: rate, isStream, seed };
+    const result = await load.ask<LoadResult>(plan);
     return { result, cores: performance.eventLoopUtilization(before).utilization };
 };
 
--- a/bench/scenarios/PathLoad.ts
+++ b/bench/scenarios/PathLoad.ts
@@ -5,7 +5,7 @@
 import { type AddressInfo } from "node:net";
 import { parentPort } from "node:worker_threads";
 import { Agent, request } from "undici";
-import { SeededRandom } from "../Scenario.ts";
+import { SeededRandom } from "../../addons/fakes/SeededRandom.ts";
 
 /** Load to be made. */
 export interface LoadPlan {
--- /dev/null
+++ b/bench/scenarios/Replay.ts
@@ -0,0 +1,27 @@
+/**
+ * `replay`: the recorded traces under traces/ against their stated outcomes.
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { replayTrace } from "../../addons/replay/TraceRunner.ts";
+import { type Outcome, type Scenario } from "../Scenario.ts";
+
+const FOLDER = new URL("../../traces", import.meta.url).pathname;
+
+const run = async (): Promise<Outcome> => {
+    const files = readdirSync(FOLDER).filter(file => file.endsWith(".jsonl")).sort();
+    let mismatches = 0;
+    for (const file of files) {
+        const result = await replayTrace(readFileSync(join(FOLDER, file), "utf8"));
+        result.mismatches.forEach(line => console.error(`${file}: ${line}`));
+        mismatches += result.mismatches.length;
+    }
+    return { violations: { mismatches }, figures: { traces: files.length } };
+};
+
+export const replay: Scenario = {
+    name: "replay",
+    summary: "the recorded traces against their stated outcomes; a trace has its own seed",
+    isExact: true,
+    run,
+};
--- a/bench/scenarios/Session.ts
+++ b/bench/scenarios/Session.ts
@@ -2,10 +2,10 @@
  * `session`: sessions across share changes, instance loss, cut-offs and withdrawals.
  */
 import { accountRow, allowModel, domainRow, type Row, versionRow } from "../../addons/fakes/SheetText.ts";
+import { eightInstances, World, type WorldNode } from "../../addons/fakes/World.ts";
 import { isRouterError } from "../../src/common/errors/RouterError.ts";
 import { VersionPolicy } from "../../src/common/routing/VersionPolicy.ts";
 import { type Outcome, round, type Scenario } from "../Scenario.ts";
-import { eightInstances, World, type WorldNode } from "../World.ts";
 
 const RUN_MS = 60_000;
 const SESSIONS = 150;
--- a/src/common/billing/Bill.ts
+++ b/src/common/billing/Bill.ts
@@ -6,7 +6,7 @@
 
 export const billSchema = z.object({
     /** Id of the request, unique over all instances. */
-    id: z.string().max(100),
+    id: z.string().max(300),
     account: z.string(),
     /** `model@version` or `service NAME` that gave the answer. */
     target: z.string(),
--- a/src/common/claims/ClaimTable.ts
+++ b/src/common/claims/ClaimTable.ts
@@ -15,6 +15,8 @@
     contentType: z.string(),
     /** Body of the answer in base64. */
     body: z.string(),
+    /** True when the body was too large to be kept. */
+    isBodyOmitted: z.boolean().optional(),
 });
 
 /** The recorded answer of a request. */
@@ -80,7 +82,7 @@
         if (command.kind === "claim") {
             return this.claim(id, claim, command);
         }
-        if (claim?.claimId !== command.claimId || claim.state !== "claimed") {
+        if (claim?.claimId !== command.claimId || claim.state === "done") {
             return { kind: "ignored" };
         }
         switch (command.kind) {
--- a/src/common/errors/RouterError.ts
+++ b/src/common/errors/RouterError.ts
@@ -21,8 +21,11 @@
     sheetConflict: 409,
     sheetOutdated: 409,
     keyReused: 409,
+    keyInProgress: 409,
+    outcomeUnknown: 409,
     bodyTooLarge: 413,
     invalidSheet: 422,
+    quarantined: 422,
     tooManyRequests: 429,
     headersTooLarge: 431,
     internal: 500,
@@ -51,6 +54,8 @@
     readonly peer?: string;
     /** When the caller may come back, in ms. */
     readonly retryAfterMs?: number;
+    /** Whether the connection broke while the request was in flight, as when the peer's process ends. */
+    readonly isBroken?: boolean;
     readonly cause?: unknown;
 }
 
@@ -61,6 +66,7 @@
         step: "",
         peer: undefined as string | undefined,
         retryAfterMs: undefined as number | undefined,
+        isBroken: false,
     },
 });
 
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -3,6 +3,7 @@
  * tests and benches build it from their own clock and network.
  */
 import { BillRecorder, type BillStore } from "../billing/BillRecorder.ts";
+import { KeyedExecution } from "../claims/KeyedExecution.ts";
 import { ConfigurationFollower } from "../configuration/ConfigurationFollower.ts";
 import { ControlClient } from "../control/ControlClient.ts";
 import { ControlLog } from "../control/ControlLog.ts";
@@ -12,6 +13,7 @@
 import { type Member, startOf } from "../membership/Member.ts";
 import { Membership } from "../membership/Membership.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { type QuarantineNotice, Suspects } from "../policy/Suspects.ts";
 import { Dispatcher } from "../routing/Dispatcher.ts";
 import { rendezvous } from "../routing/Hash.ts";
 import { PrefixIndex } from "../routing/PrefixIndex.ts";
@@ -36,6 +38,9 @@
 /** Time in which the owner of an upstream must answer, in ms. */
 const BORROW_TIMEOUT_MS = 400;
 
+/** Time for which a quarantine is offered to the control log, in ms. */
+const QUARANTINE_TIMEOUT_MS = 30_000;
+
 /** What an instance core is built from. */
 export interface CoreParts {
     readonly clock: Clock;
@@ -74,6 +79,8 @@
     public readonly pins: SessionPins;
     public readonly sessions: SessionDirectory;
     public readonly bills: BillRecorder;
+    public readonly suspects: Suspects;
+    public readonly keyed: KeyedExecution;
     private readonly pinSpread: PinSpread;
     private readonly parts: CoreParts;
     private readonly startsSeen = new Map<string, number>();
@@ -103,6 +110,9 @@
         this.sessions = this.register(new SessionDirectory(clock, this.pins, pin => this.askHomes(pin)));
         this.pinSpread = this.register(new PinSpread(clock, network, this.membership, this.pins, this.sessions));
         this.bills = this.register(new BillRecorder(clock, network, this.membership, parts.billStore));
+        this.suspects = this.register(new Suspects(clock, network, this.membership, this.registry));
+        this.register(this.suspects.onQuarantined(notice => this.onQuarantined(notice)));
+        this.keyed = new KeyedExecution(clock, this.client, this.membership);
         this.handleCalls();
         this.recordEvents();
     }
@@ -207,6 +217,14 @@
         return [...new Set([...own, ...known, ...initialVoters])];
     }
 
+    /** Every instance knows of the quarantine already; the log makes it last, and lets operators release it. */
+    private onQuarantined({ fingerprint, until }: QuarantineNotice): void {
+        const reason = "it was in flight on two upstreams that crashed";
+        const change = { kind: "quarantine", fingerprint, until, by: "policy", reason, at: this.parts.clock.now() };
+        this.timeline.record("suspectSeen", `request ${fingerprint} is quarantined: ${reason}`);
+        this.client.submit(change, QUARANTINE_TIMEOUT_MS).catch(() => undefined);
+    }
+
     private handleCalls(): void {
         const { network } = this.parts;
         this.register(
@@ -233,7 +251,11 @@
                 timeline.record("memberChanged", `instance ${member.id} is ${member.state}`, { domain: member.domain });
             }
         }));
+        let before: readonly string[] = [];
         this.register(this.follower.onChanged(table => {
+            const quarantined = this.follower.configuration.quarantines.map(item => item.fingerprint);
+            before.filter(item => !quarantined.includes(item)).forEach(item => this.suspects.release(item));
+            before = quarantined;
             timeline.record("configurationApplied", `revision ${table.revision} is in force here`);
         }));
         this.register(this.follower.onContactChanged(isInContact => {
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -43,6 +43,13 @@
         req: z.object({ offset: z.number().int().nonnegative() }),
         reply: z.object({ pins: z.array(pinSchema), isLast: z.boolean() }),
     },
+    /** Crashes that a request was part of; 0 clears it. */
+    tellSuspect: { req: z.object({ fingerprint: z.string(), crashes: z.number().int().nonnegative() }), reply: empty },
+    permitSuspect: {
+        req: z.object({ fingerprint: z.string(), request: z.string(), target: z.string() }),
+        reply: z.object({ state: z.enum(["granted", "busy", "free", "quarantined"]), upstream: z.string().optional() }),
+    },
+    returnPermit: { req: z.object({ upstream: z.string(), request: z.string() }), reply: empty },
     /** Work that accounts had done here since the last message, so that fairness spans instances. */
     shareUsage: {
         req: z.object({
--- /dev/null
+++ b/src/common/policy/Suspects.ts
@@ -0,0 +1,262 @@
+/**
+ * Requests that may crash whatever runs them. One that was in flight on an upstream whose connection broke is
+ * a suspect on every instance; it runs again only by a permit, on an upstream where no other suspect runs. A
+ * second crash quarantines it everywhere before a third.
+ */
+import { routerError } from "../errors/RouterError.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { Emitter } from "../lifecycle/Emitter.ts";
+import { type Membership } from "../membership/Membership.ts";
+import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { rendezvous } from "../routing/Hash.ts";
+import { type Clock, sleep } from "../time/Clock.ts";
+import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+
+/** Crashes after which a request is not run any more. */
+const MAX_CRASHES = 2;
+/** How long a suspicion lasts without a further crash, in ms. */
+const SUSPICION_MS = 600_000;
+/** How long a quarantine lasts unless an operator releases it, in ms. */
+export const QUARANTINE_MS = 24 * 3_600_000;
+/** Time in which other instances must confirm that they know of a suspect, in ms. */
+const TELL_TIMEOUT_MS = 300;
+/** Pause before a permit is asked for again, in ms. */
+const PERMIT_PAUSE_MS = 50;
+/** A permit that is not returned ends after this time, in ms. */
+const PERMIT_LIFE_MS = 30_000;
+/** An upstream that repeats its announcement this long after a broken connection did not crash, in ms. */
+const ALIVE_PROOF_MS = 2500;
+/** Most suspects that are remembered. */
+const MAX_SUSPECTS = 10_000;
+
+interface Suspect {
+    crashes: number;
+    expiresAt: number;
+}
+
+interface Permit {
+    readonly request: string;
+    readonly expiresAt: number;
+}
+
+/** Leave to run a request. */
+export interface Admission {
+    /** The only upstream on which a suspect may run; undefined for other requests. */
+    readonly only: string | undefined;
+    /** Must be called when the attempt has ended. */
+    end(isAnswered: boolean): void;
+}
+
+/** A fingerprint that was quarantined. */
+export interface QuarantineNotice {
+    readonly fingerprint: string;
+    readonly until: number;
+}
+
+const freeAdmission: Admission = { only: undefined, end: () => undefined };
+
+/** Suspects as known to one instance. */
+export class Suspects extends DisposableOwner {
+    private readonly clock: Clock;
+    private readonly network: PeerNetwork;
+    private readonly membership: Membership;
+    private readonly registry: UpstreamRegistry;
+    private readonly suspects = new Map<string, Suspect>();
+    /** Permits that this instance has given, by upstream. */
+    private readonly permits = new Map<string, Permit>();
+    private readonly quarantined = this.register(new Emitter<QuarantineNotice>());
+
+    /** A request crashed its second upstream; fired on the instance that saw it. */
+    public readonly onQuarantined = this.quarantined.event;
+
+    public constructor(clock: Clock, network: PeerNetwork, membership: Membership, registry: UpstreamRegistry) {
+        super();
+        this.clock = clock;
+        this.network = network;
+        this.membership = membership;
+        this.registry = registry;
+        this.register(network.handle("tellSuspect", req => this.onTold(req)));
+        this.register(network.handle("permitSuspect", req => this.onPermitAsked(req)));
+        this.register(network.handle("returnPermit", req => this.onPermitReturned(req)));
+    }
+
+    public get size(): number {
+        return this.suspects.size;
+    }
+
+    /**
+     * Resolves when the request may run. A suspect waits for its permit until `deadline` (monotonic, in ms);
+     * rejects when it is quarantined.
+     */
+    public async admit(fingerprint: string, request: string, target: string, deadline: number): Promise<Admission> {
+        if (this.suspects.size === 0 || this.crashesOf(fingerprint) === 0) {
+            return freeAdmission;
+        }
+        while (this.clock.monotonic() < deadline) {
+            this.refuseQuarantined(fingerprint);
+            const reply = await this.askPermit(fingerprint, request, target);
+            if (reply.state === "granted" && reply.upstream !== undefined) {
+                return this.toAdmission(fingerprint, request, reply.upstream);
+            }
+            if (reply.state === "free") {
+                return freeAdmission;
+            }
+            await sleep(this.clock, PERMIT_PAUSE_MS);
+        }
+        throw routerError("the request is suspected of crashing upstreams and found none to run alone on in time", {
+            code: "overloaded",
+            step: "wait for permit",
+            retryAfterMs: PERMIT_LIFE_MS / 10,
+        });
+    }
+
+    /** Notes that the connection broke under a request; resolves when the other instances know it. */
+    public async onBroken(fingerprint: string, upstream: Upstream): Promise<void> {
+        const crashes = this.crashesOf(fingerprint) + 1;
+        this.set(fingerprint, crashes);
+        if (crashes >= MAX_CRASHES) {
+            this.quarantined.fire({ fingerprint, until: this.clock.now() + QUARANTINE_MS });
+        }
+        this.clock.schedule(ALIVE_PROOF_MS, () => this.reviewCrash(fingerprint, upstream));
+        await this.tell(fingerprint, crashes);
+    }
+
+    /** Forgets a suspicion, after an operator's release. */
+    public release(fingerprint: string): void {
+        this.suspects.delete(fingerprint);
+    }
+
+    private toAdmission(fingerprint: string, request: string, upstream: string): Admission {
+        return {
+            only: upstream,
+            end: isAnswered => {
+                void this.returnPermit(upstream, request);
+                if (isAnswered) {
+                    this.set(fingerprint, 0);
+                    void this.tell(fingerprint, 0);
+                }
+            },
+        };
+    }
+
+    /** A heartbeat of the same start after the break shows that only the connection was lost. */
+    private reviewCrash(fingerprint: string, upstream: Upstream): void {
+        const isSameStart = this.registry.get(upstream.announcement.id) === upstream;
+        const suspect = this.suspects.get(fingerprint);
+        if (isSameStart && suspect !== undefined && suspect.crashes > 0) {
+            this.set(fingerprint, suspect.crashes - 1);
+            void this.tell(fingerprint, suspect.crashes);
+        }
+    }
+
+    private refuseQuarantined(fingerprint: string): void {
+        if (this.crashesOf(fingerprint) >= MAX_CRASHES) {
+            throw quarantinedError(fingerprint);
+        }
+    }
+
+    private crashesOf(fingerprint: string): number {
+        const suspect = this.suspects.get(fingerprint);
+        return suspect !== undefined && suspect.expiresAt > this.clock.monotonic() ? suspect.crashes : 0;
+    }
+
+    private set(fingerprint: string, crashes: number): void {
+        this.suspects.delete(fingerprint);
+        if (crashes <= 0) {
+            return;
+        }
+        const lifeMs = crashes >= MAX_CRASHES ? QUARANTINE_MS : SUSPICION_MS;
+        this.suspects.set(fingerprint, { crashes, expiresAt: this.clock.monotonic() + lifeMs });
+        const oldest = this.suspects.keys().next();
+        if (this.suspects.size > MAX_SUSPECTS && !oldest.done) {
+            this.suspects.delete(oldest.value);
+        }
+    }
+
+    private async tell(fingerprint: string, crashes: number): Promise<void> {
+        const others = this.membership.alive().filter(member => member.id !== this.network.self);
+        await Promise.all(
+            others.map(member =>
+                this.network.call(member.id, "tellSuspect", { fingerprint, crashes }, TELL_TIMEOUT_MS).catch(() =>
+                    undefined
+                )
+            ),
+        );
+    }
+
+    private onTold({ fingerprint, crashes }: PeerRequest<"tellSuspect">): Record<string, never> {
+        this.set(fingerprint, crashes === 0 ? 0 : Math.max(crashes, this.crashesOf(fingerprint)));
+        return {};
+    }
+
+    /** One instance gives all permits, so that no two suspects meet on an upstream. */
+    private coordinator(): string {
+        const entries = this.membership.alive().filter(member => member.roles.includes("entry"));
+        return rendezvous("suspects", entries, member => member.id, 1)[0]?.id ?? this.network.self;
+    }
+
+    private async askPermit(fingerprint: string, request: string, target: string): Promise<PeerReply<"permitSuspect">> {
+        const req = { fingerprint, request, target };
+        const coordinator = this.coordinator();
+        if (coordinator === this.network.self) {
+            return this.onPermitAsked(req);
+        }
+        try {
+            return await this.network.call(coordinator, "permitSuspect", req, TELL_TIMEOUT_MS);
+        }
+        catch {
+            return { state: "busy" };
+        }
+    }
+
+    private onPermitAsked({ fingerprint, request, target }: PeerRequest<"permitSuspect">): PeerReply<"permitSuspect"> {
+        const crashes = this.crashesOf(fingerprint);
+        if (crashes !== 1) {
+            return { state: crashes === 0 ? "free" : "quarantined" };
+        }
+        const now = this.clock.monotonic();
+        const isRunning = [...this.permits.values()].some(permit =>
+            permit.request.startsWith(`${fingerprint} `) && permit.expiresAt > now
+        );
+        const upstream = isRunning ? undefined : this.freeUpstream(target, now);
+        if (upstream === undefined) {
+            return { state: "busy" };
+        }
+        this.permits.set(upstream, { request: `${fingerprint} ${request}`, expiresAt: now + PERMIT_LIFE_MS });
+        return { state: "granted", upstream };
+    }
+
+    /** The least loaded upstream on which no suspect runs. */
+    private freeUpstream(target: string, now: number): string | undefined {
+        const free = this.registry.serving(target).filter(upstream =>
+            (this.permits.get(upstream.announcement.id)?.expiresAt ?? 0) <= now
+        );
+        const running = (upstream: Upstream): number => upstream.load?.running ?? 0;
+        return [...free].sort((a, b) => running(a) - running(b))[0]?.announcement.id;
+    }
+
+    private async returnPermit(upstream: string, request: string): Promise<void> {
+        const req = { upstream, request };
+        const coordinator = this.coordinator();
+        if (coordinator === this.network.self) {
+            this.onPermitReturned(req);
+            return;
+        }
+        await this.network.call(coordinator, "returnPermit", req, TELL_TIMEOUT_MS).catch(() => undefined);
+    }
+
+    private onPermitReturned({ upstream, request }: PeerRequest<"returnPermit">): Record<string, never> {
+        if (this.permits.get(upstream)?.request.endsWith(` ${request}`) === true) {
+            this.permits.delete(upstream);
+        }
+        return {};
+    }
+}
+
+/** The refusal of a quarantined request. */
+export const quarantinedError = (fingerprint: string): Error =>
+    routerError(`the request crashed ${MAX_CRASHES} upstreams and is quarantined as ${fingerprint}`, {
+        code: "quarantined",
+        step: "admit request",
+    });
--- a/src/common/routing/Attempts.ts
+++ b/src/common/routing/Attempts.ts
@@ -7,6 +7,7 @@
 import { RetryBudget } from "../../common/routing/RetryBudget.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Target } from "../../common/upstreams/Upstream.ts";
+import { type Admission, type Suspects } from "../policy/Suspects.ts";
 
 /** Most attempts of one request. */
 const MAX_ATTEMPTS = 3;
@@ -32,7 +33,8 @@
     readonly prefillMs: number;
     /** Whether it may run more than once. */
     readonly isIdempotent: boolean;
-    readonly runsAlone?: boolean;
+    /** Same for requests of the same account and content. */
+    readonly fingerprint: string;
 }
 
 /** An attempt that has a place on an upstream. */
@@ -53,12 +55,14 @@
 export class Attempts {
     private readonly clock: Clock;
     private readonly dispatcher: Dispatcher;
+    private readonly suspects: Suspects;
     private readonly events: AttemptEvents;
     private readonly budgets = new Map<Target, RetryBudget>();
 
-    public constructor(clock: Clock, dispatcher: Dispatcher, events: AttemptEvents) {
+    public constructor(clock: Clock, dispatcher: Dispatcher, suspects: Suspects, events: AttemptEvents) {
         this.clock = clock;
         this.dispatcher = dispatcher;
+        this.suspects = suspects;
         this.events = events;
     }
 
@@ -78,13 +82,18 @@
         // Once an attempt may have run, a later refusal must not claim that the request did not.
         let mayHaveRun = false;
         for (let number = 1;; number++) {
-            const assignment = await this.acquire(ctx, work, excluded, mayHaveRun);
+            const admission = await this.admit(ctx, work, mayHaveRun);
+            const assignment = await this.acquire(ctx, work, excluded, mayHaveRun, admission);
             const attempt: Attempt = { id: `${ctx.id}-${number}`, assignment };
             try {
-                return await this.attempt(ctx, attempt, send);
+                const result = await this.attempt(ctx, attempt, send);
+                admission.end(true);
+                return result;
             }
             catch (err) {
                 const failure = toRouterError(err, failureOf(attempt));
+                await this.noteBreak(work, attempt, failure);
+                admission.end(false);
                 mayHaveRun ||= failure.run !== "not_run";
                 const isRepeatable = (work.isIdempotent || !mayHaveRun) && !hasBegun() && !ctx.signal.aborted;
                 const isRetried = isRepeatable && isRetriable(failure) && number < MAX_ATTEMPTS && budget.tryTake();
@@ -97,11 +106,28 @@
         }
     }
 
+    private async admit(ctx: AttemptRequest, work: Work, mayHaveRun: boolean): Promise<Admission> {
+        try {
+            return await this.suspects.admit(work.fingerprint, ctx.id, work.target, ctx.deadline);
+        }
+        catch (err) {
+            throw withTruth(ctx, toRouterError(err, { code: "internal", step: "admit request" }), mayHaveRun);
+        }
+    }
+
+    /** A connection that broke under a request may mean that the request crashed the upstream. */
+    private async noteBreak(work: Work, attempt: Attempt, failure: RouterError): Promise<void> {
+        if (failure.code === "upstreamFailed" && failure.isBroken) {
+            await this.suspects.onBroken(work.fingerprint, attempt.assignment.upstream);
+        }
+    }
+
     private async acquire(
         ctx: AttemptRequest,
         work: Work,
         excluded: ReadonlySet<string>,
         mayHaveRun: boolean,
+        admission: Admission,
     ): Promise<Assignment> {
         const job: Job = {
             id: ctx.id,
@@ -114,12 +140,13 @@
             prefixes: work.prefixes,
             prefillMs: work.prefillMs,
             excluded,
-            runsAlone: work.runsAlone ?? false,
+            only: admission.only,
         };
         try {
             return await this.dispatcher.acquire(job, ctx.signal);
         }
         catch (err) {
+            admission.end(false);
             throw withTruth(ctx, toRouterError(err, { code: "internal", step: "find a place" }), mayHaveRun);
         }
     }
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -35,8 +35,8 @@
     readonly prefillMs: number;
     /** Upstreams that were tried already. */
     readonly excluded: ReadonlySet<string>;
-    /** A request that is suspected of crashing upstreams runs where nothing else does. */
-    readonly runsAlone?: boolean;
+    /** The only upstream on which a request may run that is suspected of crashing upstreams. */
+    readonly only?: string | undefined;
 }
 
 /** A place on an upstream. It must be released exactly once. */
@@ -225,7 +225,7 @@
 
     private tryAssign(job: Job): Assignment | undefined {
         const now = this.parts.clock.monotonic();
-        const free = this.eligible(job).filter(upstream => this.isFree(upstream, job));
+        const free = this.eligible(job).filter(upstream => this.isFree(upstream));
         const candidates = free.map(upstream => this.toCandidate(upstream, job));
         const { domain, otherDomainMs } = this.parts;
         const demand: Demand = { domain, otherDomainMs, prefillMs: job.prefillMs, now };
@@ -237,13 +237,10 @@
         return this.toAssignment(chosen.upstream, job);
     }
 
-    private isFree(upstream: Upstream, job: Job): boolean {
+    private isFree(upstream: Upstream): boolean {
         if (!this.breakers.allows(upstream)) {
             return false;
         }
-        if (job.runsAlone === true && this.parts.slots.inFlight(upstream) > 0) {
-            return false;
-        }
         return this.parts.slots.freeSlots(upstream) > 0;
     }
 
@@ -281,6 +278,9 @@
     /** Upstreams that were tried already are used again only when there is no other. */
     private eligible(job: Job): Upstream[] {
         const inService = this.parts.registry.serving(job.target).filter(upstream => this.isInService(upstream));
+        if (job.only !== undefined) {
+            return inService.filter(upstream => upstream.announcement.id === job.only);
+        }
         const untried = inService.filter(upstream => !job.excluded.has(upstream.announcement.id));
         return untried.length > 0 ? untried : inService;
     }
--- /dev/null
+++ b/src/common/slots/SlotLender.test.ts
@@ -0,0 +1,119 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../time/ManualClock.ts";
+import { announcementSchema, type LoadReport } from "../upstreams/Upstream.ts";
+import { UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { SlotLender } from "./SlotLender.ts";
+import { OWNER_HANDOVER_MS, SLOT_LEASE_MS, type SlotGrant, type SlotRequest } from "./SlotTypes.ts";
+
+const CAPACITY = 10;
+
+const setUp = (startMs: number) => {
+    const clock = new ManualClock(startMs);
+    const registry = new UpstreamRegistry(clock);
+    const since = clock.monotonic();
+    const lender = new SlotLender(clock, registry, () => ({ owner: "me", fraction: "whole", since }));
+    const announce = (): void => {
+        const base = { id: "u", startId: "s", domain: "a", host: "127.0.0.1", port: 1, service: "x" };
+        registry.announce(announcementSchema.parse({ ...base, capacity: CAPACITY, coldCapacity: CAPACITY, warmMs: 0 }));
+    };
+    const ask = (borrower: string, want: number, inUse = 0, applied = 0): SlotGrant => {
+        const req: SlotRequest = {
+            upstream: "u",
+            startId: "s",
+            applied,
+            want,
+            spare: 0,
+            inUse,
+            busyForMs: inUse === 0 ? 0 : 10_000,
+            knownLimit: 0,
+            meanMs: 0,
+            completed: 0,
+            failed: 0,
+        };
+        return lender.borrow(borrower, [req])[0] as SlotGrant;
+    };
+    /** Time passes, with the upstream announcing itself as it does. */
+    const pass = (ms: number): void => {
+        for (let done = 0; done < ms; done += 500) {
+            announce();
+            clock.advance(Math.min(500, ms - done));
+        }
+    };
+    return { clock, registry, announce, ask, pass };
+};
+
+test("an upstream that is announced after the ownership was settled is lent at once", () => {
+    const { clock, announce, ask } = setUp(0);
+    clock.advance(OWNER_HANDOVER_MS + 100);
+    announce();
+    assert.equal(ask("i1", 3).granted, 3);
+});
+
+test("a new owner lends nothing until every loan of an earlier owner has expired", () => {
+    const { announce, ask, pass } = setUp(0);
+    announce();
+    assert.equal(ask("i1", 3).granted, 0);
+    pass(OWNER_HANDOVER_MS + 1);
+    assert.equal(ask("i1", 3).granted, 3);
+});
+
+test("a reduced loan stays reserved until the borrower has applied the reduction", () => {
+    const { clock, announce, ask } = setUp(0);
+    clock.advance(OWNER_HANDOVER_MS + 100);
+    announce();
+    const first = ask("i1", 10);
+    assert.equal(first.granted, 10);
+    const reduced = ask("i1", 2, 0, first.seq);
+    assert.equal(reduced.granted, 2);
+    assert.equal(ask("i2", 8).granted, 0, "i1 may still use the 10 slots of its earlier grant");
+    ask("i1", 2, 0, reduced.seq);
+    assert.equal(ask("i2", 8).granted, 8);
+});
+
+test("slots of a silent borrower are held back until a report shows that its requests have ended", () => {
+    const { clock, registry, announce, ask, pass } = setUp(0);
+    clock.advance(OWNER_HANDOVER_MS + 100);
+    announce();
+    assert.equal(ask("i1", 6).granted, 6);
+    pass(SLOT_LEASE_MS * 2);
+    assert.equal(ask("i2", 10).granted, 4);
+    const report = (seq: number, running: number): LoadReport => ({ id: "u", startId: "s", seq, running, queued: 0 });
+    pass(3000);
+    registry.report(report(1, 0));
+    assert.equal(ask("i2", 10).granted, 10);
+});
+
+test("whatever borrowers ask and lose, all that they may use never exceeds the limit", () => {
+    const step = fc.record({
+        borrower: fc.constantFrom("i1", "i2", "i3"),
+        want: fc.integer({ min: 0, max: 15 }),
+        isReplyLost: fc.boolean(),
+        passMs: fc.constantFrom(0, 100, 700),
+    });
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 40 }), steps => {
+            const { clock, announce, ask, pass } = setUp(0);
+            clock.advance(OWNER_HANDOVER_MS + 100);
+            announce();
+            const usable = new Map<string, { granted: number; applied: number; until: number; }>();
+            for (const { borrower, want, isReplyLost, passMs } of steps) {
+                pass(passMs);
+                const held = usable.get(borrower);
+                const grant = ask(borrower, want, 0, held?.applied ?? 0);
+                if (!isReplyLost) {
+                    usable.set(borrower, {
+                        granted: grant.granted,
+                        applied: grant.seq,
+                        until: clock.now() + SLOT_LEASE_MS,
+                    });
+                }
+                const valid = [...usable.values()].filter(item => clock.now() < item.until);
+                const total = valid.reduce((sum, item) => sum + item.granted, 0);
+                assert.ok(total <= CAPACITY, `${total} slots may be used at once`);
+            }
+        }),
+        { seed: 7, numRuns: 300 },
+    );
+});
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -17,6 +17,9 @@
     type SlotRequest,
 } from "./SlotTypes.ts";
 
+/** A borrower that was silent for this long has no valid grant any more, in ms. */
+const LOST_AFTER_MS = SLOT_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+
 interface Grant {
     readonly seq: number;
     readonly granted: number;
@@ -31,6 +34,8 @@
     spare: number;
     inUse: number;
     busyUntil: number;
+    /** Monotonic time of the borrower's last message, in ms. */
+    seenAt: number;
 }
 
 interface Book {
@@ -115,7 +120,7 @@
         book.lendable = Math.max(0, ownedPart(book.ramp.limit, ownership.fraction) - book.unattributed);
         const granted = isHandover ? 0 : this.allot(book, borrower, req, now);
         loan.seq++;
-        const expiresAt = now + SLOT_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
+        const expiresAt = now + LOST_AFTER_MS;
         loan.grants.push({ seq: loan.seq, granted, expiresAt });
         const limit = book.ramp.limit;
         return { upstream: req.upstream, startId: req.startId, seq: loan.seq, granted, leaseMs: SLOT_LEASE_MS, limit };
@@ -129,7 +134,7 @@
             addUnattributed(book, Math.max(0, running - sumInUse(book, now)), now);
         }
         for (const [borrower, loan] of book.loans) {
-            if (now >= lastExpiry(loan)) {
+            if (now - loan.seenAt >= LOST_AFTER_MS) {
                 book.loans.delete(borrower);
                 addUnattributed(book, reserved(loan, 0), now);
             }
@@ -188,10 +193,11 @@
 
 const updateLoan = (book: Book, borrower: string, req: SlotRequest, now: number): Loan => {
     const loan = book.loans.get(borrower)
-        ?? { seq: req.applied, grants: [], want: 0, spare: 0, inUse: 0, busyUntil: 0 };
+        ?? { seq: req.applied, grants: [], want: 0, spare: 0, inUse: 0, busyUntil: 0, seenAt: now };
     loan.seq = Math.max(loan.seq, req.applied);
     // A grant sent before the one that the borrower has applied is never applied any more.
     loan.grants = loan.grants.filter(grant => grant.seq >= req.applied && now < grant.expiresAt);
+    loan.seenAt = now;
     loan.want = req.want;
     loan.spare = req.spare;
     loan.inUse = req.inUse;
@@ -203,8 +209,6 @@
     return loan;
 };
 
-const lastExpiry = (loan: Loan): number => loan.grants.at(-1)?.expiresAt ?? 0;
-
 /** Slots that a loan can occupy at `now`: in flight, or lent and not expired. With 0, ever since it was lent. */
 const reserved = (loan: Loan, now: number): number =>
     loan.grants.reduce((most, grant) => now < grant.expiresAt ? Math.max(most, grant.granted) : most, loan.inUse);
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -54,7 +54,7 @@
 
     private createCallers(settings: Settings): CallerDoor {
         const { core, clock, client } = this;
-        const attempts = new Attempts(clock, core.dispatcher, {
+        const attempts = new Attempts(clock, core.dispatcher, core.suspects, {
             onDispatch: (ctx, attempt) => this.onDispatch(ctx, attempt),
             onFailure: (ctx, attempt, err, isRetried) => this.onFailure(ctx, attempt, err, isRetried),
         });
@@ -74,7 +74,7 @@
             maxBodyBytes,
             promptTokenMs: MS_PER_SECOND / settings.routing.prompt_tokens_per_s,
         });
-        const services = new ServiceHandler({ clock, attempts, client, recordBill, maxBodyBytes });
+        const services = new ServiceHandler({ clock, attempts, client, keyed: core.keyed, recordBill, maxBodyBytes });
         return new CallerDoor({
             instance: settings.instance.id,
             clock,
--- a/src/node/dispatch/UpstreamClient.ts
+++ b/src/node/dispatch/UpstreamClient.ts
@@ -138,6 +138,9 @@
     "UND_ERR_DESTROYED",
 ]);
 
+/** Errors of a connection that ended while a request was in flight. */
+export const brokenCodes: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
+
 const toError = (err: unknown, upstream: Upstream): RouterError => {
     const { code = "", name = "", message = "" } = err as { code?: string; name?: string; message?: string; };
     const run: RunState = notSentCodes.has(code) ? "not_run" : "unknown";
@@ -149,6 +152,7 @@
         run,
         step: "send request",
         peer: id,
+        isBroken: brokenCodes.has(code),
         cause: err,
     });
 };
--- a/src/node/entry/ChatHandler.ts
+++ b/src/node/entry/ChatHandler.ts
@@ -14,7 +14,7 @@
 import { RUN_HEADER } from "../dispatch/UpstreamClient.ts";
 import { parseJson, readBody } from "../http/HttpBody.ts";
 import { parseChat, type ParsedChat, toEngineBody } from "./ChatRequest.ts";
-import { type RequestContext } from "./RequestContext.ts";
+import { billId, fingerprintOf, refuseQuarantined, type RequestContext } from "./RequestContext.ts";
 import { readUsage, SseRelay, type Usage } from "./SseRelay.ts";
 
 export const MODEL_HEADER = "x-model";
@@ -74,6 +74,8 @@
         const chat = parseChat(parseJson(await readBody(req, this.parts.maxBodyBytes)));
         const chosen = await this.parts.chooseVersion(ctx, chat);
         const body = toEngineBody(chat, chosen.version.key);
+        const fingerprint = fingerprintOf(ctx, body);
+        refuseQuarantined(ctx, fingerprint, this.parts.clock.now());
         const exchange: Exchange = { ctx, res, chat, chosen, body, items: [] };
         const work = {
             target: chosen.version.key,
@@ -81,6 +83,7 @@
             prefixes: chat.prefixes,
             prefillMs: chat.promptTokens * this.parts.promptTokenMs,
             isIdempotent: true,
+            fingerprint,
         };
         const send = (attempt: Attempt): Promise<void> => this.send(exchange, attempt);
         await this.parts.attempts.run(ctx, work, send, () => res.headersSent);
@@ -211,7 +214,7 @@
         const { ctx, chosen, items, chat } = exchange;
         const counted = usage ?? estimateUsage(chat, chat.answerTokens);
         return {
-            id: ctx.id,
+            id: billId(ctx),
             account: ctx.account.name,
             target: chosen.version.key,
             at: this.parts.clock.now(),
--- a/src/node/entry/RequestContext.ts
+++ b/src/node/entry/RequestContext.ts
@@ -7,6 +7,7 @@
 import { type Account, type RoutingTable } from "../../common/configuration/RoutingTable.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
+import { quarantinedError } from "../../common/policy/Suspects.ts";
 import { MAX_REQUEST_MS } from "../../common/slots/SlotTypes.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 
@@ -21,6 +22,8 @@
 const MAX_ID_LENGTH = 200;
 const MAX_PRIORITY = 9;
 const DEFAULT_PRIORITY = 5;
+/** Hex digits of a fingerprint. */
+const FINGERPRINT_LENGTH = 32;
 const BEARER = "Bearer ";
 
 /** Limits on what callers may leave out. */
@@ -106,6 +109,24 @@
     return text?.startsWith(BEARER) === true ? text.slice(BEARER.length).trim() : undefined;
 };
 
+/** Same for requests of one account with the same content, however often they are sent. */
+export const fingerprintOf = (ctx: RequestContext, ...content: readonly (string | Buffer)[]): string => {
+    const hash = createHash("sha256").update(ctx.account.name);
+    content.forEach(part => hash.update("|").update(part));
+    return hash.digest("hex").slice(0, FINGERPRINT_LENGTH);
+};
+
+/** Refuses a request that crashed upstreams. */
+export const refuseQuarantined = (ctx: RequestContext, fingerprint: string, now: number): void => {
+    if (ctx.table.isQuarantined(fingerprint, now)) {
+        throw quarantinedError(fingerprint);
+    }
+};
+
+/** Requests with the same idempotency key are billed under the same id, and so only once. */
+export const billId = (ctx: RequestContext): string =>
+    ctx.idempotencyKey === undefined ? ctx.id : `key:${ctx.account.name}:${ctx.idempotencyKey}`;
+
 // Keys are looked up by their hash, so the time that this takes tells nothing about the keys themselves.
 const authenticate = (headers: IncomingHttpHeaders, table: RoutingTable): Account => {
     const key = bearerKey(headers);
--- a/src/node/entry/ServiceHandler.ts
+++ b/src/node/entry/ServiceHandler.ts
@@ -5,6 +5,8 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { pipeline } from "node:stream/promises";
 import { type RecordBill } from "../../common/billing/Bill.ts";
+import { type RecordedOutcome } from "../../common/claims/ClaimTable.ts";
+import { type KeyedExecution } from "../../common/claims/KeyedExecution.ts";
 import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
 import { type Attempt, type Attempts } from "../../common/routing/Attempts.ts";
 import { type Clock } from "../../common/time/Clock.ts";
@@ -12,12 +14,16 @@
 import { RUN_HEADER, type UpstreamAnswer, type UpstreamClient } from "../dispatch/UpstreamClient.ts";
 import { readBody } from "../http/HttpBody.ts";
 import { readWhole, refuseFailure } from "./ChatHandler.ts";
-import { type RequestContext } from "./RequestContext.ts";
+import { billId, fingerprintOf, refuseQuarantined, type RequestContext } from "./RequestContext.ts";
 
 /** Path under which services are reached. */
 export const SERVICES_PATH = "/services/";
 /** Answers up to this size are read whole before they are passed on, so a broken one can be retried. */
 const HELD_ANSWER_BYTES = 65_536;
+/** Largest answer whose body is recorded for repeats. */
+const MAX_RECORDED_BYTES = 262_144;
+/** Header of an answer that is the record of an earlier run. */
+export const REPEAT_HEADER = "x-idempotent-repeat";
 /** Cost of a call in the unit of the fair queue, which is tokens. */
 const CALL_COST = 100;
 
@@ -43,6 +49,7 @@
     readonly clock: Clock;
     readonly attempts: Attempts;
     readonly client: UpstreamClient;
+    readonly keyed: KeyedExecution;
     readonly recordBill: RecordBill;
     readonly maxBodyBytes: number;
 }
@@ -56,6 +63,15 @@
     readonly isIdempotent: boolean;
 }
 
+/** A call with everything that is sent to the service. */
+interface Sending {
+    readonly ctx: RequestContext;
+    readonly call: ServiceCall;
+    readonly body: Buffer;
+    readonly headers: Record<string, string>;
+    readonly fingerprint: string;
+}
+
 /** Handler of service calls. */
 export class ServiceHandler {
     private readonly parts: ServiceParts;
@@ -68,15 +84,58 @@
     public async handle(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
         const call = parseCall(ctx, req);
         const body = await readBody(req, this.parts.maxBodyBytes);
+        const fingerprint = fingerprintOf(ctx, call.method, call.path, body);
+        refuseQuarantined(ctx, fingerprint, this.parts.clock.now());
+        const sending: Sending = { ctx, call, body, headers: forwardedHeaders(req), fingerprint };
+        if (!call.isIdempotent && ctx.idempotencyKey !== undefined) {
+            await this.runKeyed(sending, ctx.idempotencyKey, res);
+            return;
+        }
+        await this.attempt(
+            sending,
+            (attempt, answer) => this.relay(sending, attempt, answer, res),
+            () => res.headersSent,
+        );
+    }
+
+    /** Runs the call at most once under its key; a repeat is answered from the record. */
+    private async runKeyed(sending: Sending, key: string, res: ServerResponse): Promise<void> {
+        const { ctx, call, fingerprint } = sending;
+        const req = {
+            account: ctx.account.name,
+            key: `${call.service} ${key}`,
+            bodyHash: fingerprint,
+            claimId: ctx.id,
+            leftMs: ctx.leftMs,
+        };
+        const hold = (attempt: Attempt, answer: UpstreamAnswer): Promise<RecordedOutcome> =>
+            this.hold(sending, attempt, answer);
+        const { outcome, isRepeat } = await this.parts.keyed.run(req, () => this.attempt(sending, hold, () => false));
+        const body = Buffer.from(outcome.body, "base64");
+        res.writeHead(outcome.status, {
+            "x-request-id": ctx.id,
+            "content-type": outcome.contentType,
+            "content-length": body.length,
+            ...(isRepeat ? { [REPEAT_HEADER]: outcome.isBodyOmitted === true ? "body omitted" : "true" } : {}),
+        });
+        res.end(body);
+    }
+
+    private attempt<T>(
+        sending: Sending,
+        take: (attempt: Attempt, answer: UpstreamAnswer) => Promise<T>,
+        hasBegun: () => boolean,
+    ): Promise<T> {
+        const { ctx, call, body, headers, fingerprint } = sending;
         const work = {
             target: serviceTarget(call.service),
             cost: CALL_COST,
             prefixes: [],
             prefillMs: 0,
             isIdempotent: call.isIdempotent,
+            fingerprint,
         };
-        const headers = forwardedHeaders(req);
-        const send = async (attempt: Attempt): Promise<void> => {
+        const send = async (attempt: Attempt): Promise<T> => {
             const answer = await this.parts.client.send(attempt.assignment.upstream, {
                 attemptId: attempt.id,
                 method: call.method,
@@ -91,23 +150,34 @@
             if (call.isIdempotent || answer.headers[RUN_HEADER] === "not_run") {
                 refuseFailure(answer, attempt);
             }
-            await this.relay(ctx, call, attempt, answer, res);
+            return take(attempt, answer);
+        };
+        return this.parts.attempts.run(ctx, work, send, hasBegun);
+    }
+
+    private async hold(sending: Sending, attempt: Attempt, answer: UpstreamAnswer): Promise<RecordedOutcome> {
+        const body = await readWhole(answer.body);
+        await this.bill(sending, attempt, true);
+        const isBodyOmitted = body.length > MAX_RECORDED_BYTES;
+        return {
+            status: answer.status,
+            contentType: String(answer.headers["content-type"] ?? "application/octet-stream"),
+            body: body.toString("base64"),
+            ...(isBodyOmitted ? { isBodyOmitted } : {}),
         };
-        await this.parts.attempts.run(ctx, work, send, () => res.headersSent);
     }
 
     private async relay(
-        ctx: RequestContext,
-        call: ServiceCall,
+        sending: Sending,
         attempt: Attempt,
         answer: UpstreamAnswer,
         res: ServerResponse,
     ): Promise<void> {
-        const headers = { ...answeredHeaders(answer), "x-request-id": ctx.id };
+        const headers = { ...answeredHeaders(answer), "x-request-id": sending.ctx.id };
         const length = Number(answer.headers["content-length"] ?? NaN);
         if (length <= HELD_ANSWER_BYTES) {
             const body = await readWhole(answer.body);
-            await this.bill(ctx, call, attempt, true);
+            await this.bill(sending, attempt, true);
             res.writeHead(answer.status, { ...headers, "content-length": body.length });
             res.end(body);
             return;
@@ -117,21 +187,21 @@
             await pipeline(answer.body, res, { end: false });
         }
         catch (err) {
-            await this.bill(ctx, call, attempt, false);
+            await this.bill(sending, attempt, false);
             res.destroy();
             const peer = attempt.assignment.upstream.announcement.id;
             throw toRouterError(err, { code: "upstreamFailed", run: "ran", step: "relay answer", peer });
         }
-        await this.bill(ctx, call, attempt, true);
+        await this.bill(sending, attempt, true);
         res.end();
     }
 
-    private async bill(ctx: RequestContext, call: ServiceCall, attempt: Attempt, isComplete: boolean): Promise<void> {
+    private async bill({ ctx, call }: Sending, attempt: Attempt, isComplete: boolean): Promise<void> {
         const cost = ctx.table.service(call.service)?.cost ?? 0;
         const target = serviceTarget(call.service);
         const upstream = attempt.assignment.upstream.announcement.id;
         await this.parts.recordBill({
-            id: ctx.id,
+            id: billId(ctx),
             account: ctx.account.name,
             target,
             at: this.parts.clock.now(),
