Scarce slots go where they are needed within milliseconds

Change: borrowers declare what they keep, give back what they do not need while others wait, and owners nudge those in need; the ramp counts wants as use.

--- a/addons/replay/TraceRunner.ts
+++ b/addons/replay/TraceRunner.ts
@@ -63,7 +63,11 @@
         const ordered = [...lines].sort((a, b) => timeOf(a.event) - timeOf(b.event));
         for (const { line, event } of ordered) {
             await this.world.advance(Math.max(0, zero + timeOf(event) - this.world.now));
-            pending.push(this.apply(line, event));
+            pending.push(
+                this.apply(line, event).catch((err: unknown) => {
+                    this.mismatches.push(`line ${line}: ${event.do} failed: ${(err as Error).message}`);
+                }),
+            );
         }
         await this.world.advance(TAIL_MS);
         await this.world.wait(Promise.all(pending));
@@ -167,7 +171,7 @@
     }
 
     private async checkRequest(line: number, event: Event<"request">, index: number): Promise<void> {
-        const seen = await this.request(event, index);
+        const seen = await this.request(event, `${event.id}.${line}.${index}`);
         for (const [field, expected] of Object.entries(event.expect) as [keyof Expectation, unknown][]) {
             if (field === "withinMs") {
                 if (seen.tookMs > Number(expected)) {
@@ -181,11 +185,11 @@
         }
     }
 
-    private async request(event: Event<"request">, index: number): Promise<Seen> {
+    private async request(event: Event<"request">, id: string): Promise<Seen> {
         const startedAt = this.world.now;
         const took = (): number => this.world.now - startedAt;
         try {
-            return { ...await this.execute(event, index), outcome: "answered", tookMs: took() };
+            return { ...await this.execute(event, id), outcome: "answered", tookMs: took() };
         }
         catch (err) {
             if (!isRouterError(err)) {
@@ -196,7 +200,7 @@
         }
     }
 
-    private async execute(event: Event<"request">, index: number): Promise<Omit<Seen, "outcome" | "tookMs">> {
+    private async execute(event: Event<"request">, id: string): Promise<Omit<Seen, "outcome" | "tookMs">> {
         const node = this.world.node(event.instance);
         const { core } = node;
         const { table } = core.follower;
@@ -204,7 +208,6 @@
         if (account === undefined) {
             throw new Error(`no account ${event.account} in the sheet`);
         }
-        const id = `${event.id}.${index}`;
         const version = event.model === undefined ? undefined : await this.policyOf(node).choose({
             id,
             table,
--- a/src/common/control/ControlClient.ts
+++ b/src/common/control/ControlClient.ts
@@ -56,7 +56,7 @@
             }
             catch (err) {
                 last = toRouterError(err, { code: "noMajority", run: "unknown", step: "propose", peer: target });
-                if (last.code !== "noMajority") {
+                if (last.code === "malformedRequest") {
                     throw last;
                 }
                 mayTakeEffect ||= last.run !== "not_run";
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -156,7 +156,17 @@
         return new SlotLender(clock, this.registry, upstream => {
             const ownership = this.owners.ownershipOf(upstream);
             return ownership?.owner === member.id ? ownership : undefined;
-        });
+        }, (borrower, upstream, isContended) => this.nudge(borrower, upstream, isContended));
+    }
+
+    private nudge(borrower: string, upstream: string, isContended: boolean): void {
+        const instance = borrower.slice(0, borrower.lastIndexOf("#"));
+        if (instance === this.parts.member.id) {
+            this.slots.onNudge(upstream, isContended);
+            return;
+        }
+        const req = { upstream, isContended };
+        this.parts.network.call(instance, "nudgeBorrower", req, BORROW_TIMEOUT_MS).catch(() => undefined);
     }
 
     private createSlots(): SlotBook {
@@ -230,6 +240,10 @@
         this.register(
             network.handle("borrowSlots", req => ({ grants: this.lender.borrow(req.borrower, req.requests) })),
         );
+        this.register(network.handle("nudgeBorrower", req => {
+            this.slots.onNudge(req.upstream, req.isContended);
+            return {};
+        }));
         this.register(network.handle("pinSession", req => ({ pin: this.sessions.receive(req.pin) })));
         this.register(network.handle("selectEvents", req => ({ events: this.timeline.select(req.filter, req.limit) })));
         this.register(this.membership.onChanged(change => this.onMemberChanged(change.member)));
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -31,6 +31,8 @@
         req: z.object({ borrower: z.string(), requests: z.array(slotRequestSchema) }),
         reply: z.object({ grants: z.array(slotGrantSchema) }),
     },
+    /** Asks a borrower to renew a loan at once: there is more to lend, or others need what it holds. */
+    nudgeBorrower: { req: z.object({ upstream: z.string(), isContended: z.boolean() }), reply: empty },
     pinSession: { req: z.object({ pin: pinSchema }), reply: z.object({ pin: pinSchema }) },
     /** Sessions that began at the sender, so that each instance knows them when it is cut off later. */
     spreadPins: {
--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -31,6 +31,7 @@
     readonly upstream: Upstream;
     granted: number;
     appliedSeq: number;
+    isContended: boolean;
     usableUntil: number;
     inUse: number;
     inUseAtReport: number;
@@ -134,6 +135,17 @@
         account.failed += result.isUpstreamFault ? 1 : 0;
         account.meanMs += (result.durationMs - account.meanMs) * (account.meanMs === 0 ? 1 : MEAN_WEIGHT);
         this.available.fire(upstream);
+        this.returnUnneeded(account);
+    }
+
+    /** Renews the loan of an upstream at once, as its owner asks. */
+    public onNudge(upstreamId: string, isContended: boolean): void {
+        const account = this.accounts.get(upstreamId);
+        const owner = account === undefined ? undefined : this.ownerOf(account.upstream);
+        if (account !== undefined && owner !== undefined) {
+            account.isContended = isContended;
+            void this.askOwner(owner);
+        }
     }
 
     /** Says how many requests wait for the upstream; asks its owner at once when slots are short. */
@@ -149,11 +161,20 @@
         }
     }
 
+    /** Where others wait, a slot that is free and not needed here goes back at once. */
+    private returnUnneeded(account: Account): void {
+        const owner = this.ownerOf(account.upstream);
+        if (account.isContended && owner !== undefined && wantOf(account) < account.granted) {
+            void this.askOwner(owner);
+        }
+    }
+
     private open(upstream: Upstream): void {
         this.accounts.set(upstream.announcement.id, {
             upstream,
             granted: 0,
             appliedSeq: 0,
+            isContended: false,
             usableUntil: 0,
             inUse: 0,
             inUseAtReport: 0,
@@ -222,12 +243,17 @@
     private toRequest(account: Account, now: number): SlotRequest {
         const { id, startId } = account.upstream.announcement;
         const meanMs = account.completed === 0 ? 0 : account.totalMs / account.completed;
+        const want = wantOf(account);
+        const spare = account.isContended ? 0 : Math.max(MIN_SPARE, Math.ceil(want * SPARE_FRACTION));
+        // From here on no more than this is used of the applied grant, so the owner can lend the rest.
+        account.granted = Math.min(account.granted, want + spare);
         const req = {
             upstream: id,
             startId,
             applied: account.appliedSeq,
-            want: wantOf(account),
-            spare: Math.max(MIN_SPARE, Math.ceil(wantOf(account) * SPARE_FRACTION)),
+            usable: account.granted,
+            want,
+            spare,
             inUse: account.inUse,
             busyForMs: account.inUse === 0 ? 0 : Math.max(0, account.busyUntil - now),
             knownLimit: account.limit,
@@ -249,6 +275,7 @@
         const isMore = grant.granted > account.granted || this.clock.monotonic() >= account.usableUntil;
         account.granted = grant.granted;
         account.appliedSeq = grant.seq;
+        account.isContended = grant.isContended;
         account.limit = grant.limit;
         account.usableUntil = sentAt + grant.leaseMs * USED_LEASE_FRACTION;
         if (isMore) {
--- a/src/common/slots/SlotLender.test.ts
+++ b/src/common/slots/SlotLender.test.ts
@@ -13,16 +13,17 @@
     const clock = new ManualClock(startMs);
     const registry = new UpstreamRegistry(clock);
     const since = clock.monotonic();
-    const lender = new SlotLender(clock, registry, () => ({ owner: "me", fraction: "whole", since }));
+    const lender = new SlotLender(clock, registry, () => ({ owner: "me", fraction: "whole", since }), () => undefined);
     const announce = (): void => {
         const base = { id: "u", startId: "s", domain: "a", host: "127.0.0.1", port: 1, service: "x" };
         registry.announce(announcementSchema.parse({ ...base, capacity: CAPACITY, coldCapacity: CAPACITY, warmMs: 0 }));
     };
-    const ask = (borrower: string, want: number, inUse = 0, applied = 0): SlotGrant => {
+    const ask = (borrower: string, want: number, inUse = 0, applied = 0, usable = 0): SlotGrant => {
         const req: SlotRequest = {
             upstream: "u",
             startId: "s",
             applied,
+            usable,
             want,
             spare: 0,
             inUse,
@@ -65,10 +66,10 @@
     announce();
     const first = ask("i1", 10);
     assert.equal(first.granted, 10);
-    const reduced = ask("i1", 2, 0, first.seq);
+    const reduced = ask("i1", 2, 0, first.seq, first.granted);
     assert.equal(reduced.granted, 2);
     assert.equal(ask("i2", 8).granted, 0, "i1 may still use the 10 slots of its earlier grant");
-    ask("i1", 2, 0, reduced.seq);
+    ask("i1", 2, 0, reduced.seq, reduced.granted);
     assert.equal(ask("i2", 8).granted, 8);
 });
 
@@ -101,7 +102,8 @@
             for (const { borrower, want, isReplyLost, passMs } of steps) {
                 pass(passMs);
                 const held = usable.get(borrower);
-                const grant = ask(borrower, want, 0, held?.applied ?? 0);
+                const isValid = held !== undefined && clock.now() < held.until;
+                const grant = ask(borrower, want, 0, held?.applied ?? 0, isValid ? held.granted : 0);
                 if (!isReplyLost) {
                     usable.set(borrower, {
                         granted: grant.granted,
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -20,6 +20,12 @@
 /** A borrower that was silent for this long has no valid grant any more, in ms. */
 const LOST_AFTER_MS = SLOT_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
 
+/** Least time between two nudges of the same borrower, in ms. */
+const NUDGE_PAUSE_MS = 10;
+
+/** Asks a borrower, named by its instance and start, to renew its loan of an upstream at once. */
+export type Nudge = (borrower: string, upstream: string, isContended: boolean) => void;
+
 interface Grant {
     readonly seq: number;
     readonly granted: number;
@@ -28,8 +34,12 @@
 
 interface Loan {
     seq: number;
-    /** Grants that the borrower may be using: the one it has applied and those sent after it. */
+    /** Grants that the borrower has not applied yet. */
     grants: Grant[];
+    /** Slots of the applied grant that the borrower may use. */
+    usable: number;
+    usableUntil: number;
+    nudgedAt: number;
     want: number;
     spare: number;
     inUse: number;
@@ -60,16 +70,19 @@
     private readonly registry: UpstreamRegistry;
     /** How this instance owns the upstream; undefined when it does not. */
     private readonly ownershipOf: (upstream: Upstream) => Ownership | undefined;
+    private readonly nudge: Nudge;
     private readonly books = new Map<string, Book>();
 
     public constructor(
         clock: Clock,
         registry: UpstreamRegistry,
         ownershipOf: (upstream: Upstream) => Ownership | undefined,
+        nudge: Nudge,
     ) {
         this.clock = clock;
         this.registry = registry;
         this.ownershipOf = ownershipOf;
+        this.nudge = nudge;
     }
 
     /**
@@ -120,10 +133,37 @@
         book.lendable = Math.max(0, ownedPart(book.ramp.limit, ownership.fraction) - book.unattributed);
         const granted = isHandover ? 0 : this.allot(book, borrower, req, now);
         loan.seq++;
-        const expiresAt = now + LOST_AFTER_MS;
-        loan.grants.push({ seq: loan.seq, granted, expiresAt });
+        loan.grants.push({ seq: loan.seq, granted, expiresAt: now + LOST_AFTER_MS });
+        const isContended = sumWants(book) > book.lendable;
+        if (!isHandover) {
+            this.nudgeOthers(book, req.upstream, borrower, isContended, now);
+        }
         const limit = book.ramp.limit;
-        return { upstream: req.upstream, startId: req.startId, seq: loan.seq, granted, leaseMs: SLOT_LEASE_MS, limit };
+        return {
+            upstream: req.upstream,
+            startId: req.startId,
+            seq: loan.seq,
+            granted,
+            isContended,
+            leaseMs: SLOT_LEASE_MS,
+            limit,
+        };
+    }
+
+    /** Calls back what some hold and others need, and tells those in need when there is something to lend. */
+    private nudgeOthers(book: Book, upstream: string, borrower: string, isContended: boolean, now: number): void {
+        let free = book.lendable - committedToOthers(book, "", now);
+        for (const [name, loan] of book.loans) {
+            const held = reserved(loan, now);
+            const isInNeed = loan.want > held && free > 0;
+            const isHolding = isContended && held > Math.max(loan.want, loan.inUse);
+            if (name === borrower || !(isInNeed || isHolding) || now - loan.nudgedAt < NUDGE_PAUSE_MS) {
+                continue;
+            }
+            loan.nudgedAt = now;
+            free -= isInNeed ? loan.want - held : 0;
+            this.nudge(name, upstream, isContended);
+        }
     }
 
     /** Accounts for lost borrowers, and at the end of a handover for those that never came back. */
@@ -136,7 +176,7 @@
         for (const [borrower, loan] of book.loans) {
             if (now - loan.seenAt >= LOST_AFTER_MS) {
                 book.loans.delete(borrower);
-                addUnattributed(book, reserved(loan, 0), now);
+                addUnattributed(book, everReserved(loan), now);
             }
         }
         reduceUnattributed(book, upstream, now);
@@ -178,7 +218,7 @@
             return;
         }
         book.lastStepAt = now;
-        const inUse = sumInUse(book, now);
+        const inUse = Math.max(sumInUse(book, now), Math.min(sumWants(book), book.ramp.limit));
         const meanMs = book.completed === 0 ? 0 : book.totalMs / book.completed;
         book.ramp.step({ inUse, completed: book.completed, failed: book.failed, meanMs }, now);
         book.completed = 0;
@@ -192,11 +232,12 @@
     upstream.since > since + OWNER_HANDOVER_MS ? since : since + OWNER_HANDOVER_MS;
 
 const updateLoan = (book: Book, borrower: string, req: SlotRequest, now: number): Loan => {
-    const loan = book.loans.get(borrower)
-        ?? { seq: req.applied, grants: [], want: 0, spare: 0, inUse: 0, busyUntil: 0, seenAt: now };
+    const loan = book.loans.get(borrower) ?? newLoan(req.applied, now);
     loan.seq = Math.max(loan.seq, req.applied);
     // A grant sent before the one that the borrower has applied is never applied any more.
-    loan.grants = loan.grants.filter(grant => grant.seq >= req.applied && now < grant.expiresAt);
+    loan.grants = loan.grants.filter(grant => grant.seq > req.applied && now < grant.expiresAt);
+    loan.usable = req.usable;
+    loan.usableUntil = now + LOST_AFTER_MS;
     loan.seenAt = now;
     loan.want = req.want;
     loan.spare = req.spare;
@@ -209,9 +250,28 @@
     return loan;
 };
 
-/** Slots that a loan can occupy at `now`: in flight, or lent and not expired. With 0, ever since it was lent. */
-const reserved = (loan: Loan, now: number): number =>
-    loan.grants.reduce((most, grant) => now < grant.expiresAt ? Math.max(most, grant.granted) : most, loan.inUse);
+const newLoan = (seq: number, now: number): Loan => ({
+    seq,
+    grants: [],
+    usable: 0,
+    usableUntil: now,
+    nudgedAt: -Infinity,
+    want: 0,
+    spare: 0,
+    inUse: 0,
+    busyUntil: 0,
+    seenAt: now,
+});
+
+/** Slots that a loan can occupy: in flight, kept of the applied grant, or granted since and not expired. */
+const reserved = (loan: Loan, now: number): number => {
+    const usable = now < loan.usableUntil ? Math.max(loan.usable, loan.inUse) : loan.inUse;
+    return loan.grants.reduce((most, grant) => now < grant.expiresAt ? Math.max(most, grant.granted) : most, usable);
+};
+
+/** The most that a borrower can have had in flight when its last grant expired. */
+const everReserved = (loan: Loan): number =>
+    Math.max(loan.usable, loan.inUse, ...loan.grants.map(grant => grant.granted));
 
 const committedToOthers = (book: Book, borrower: string, now: number): number => {
     let total = 0;
@@ -229,6 +289,14 @@
     return total;
 };
 
+const sumWants = (book: Book): number => {
+    let total = 0;
+    for (const loan of book.loans.values()) {
+        total += loan.want;
+    }
+    return total;
+};
+
 const addUnattributed = (book: Book, count: number, now: number): void => {
     if (count > 0) {
         book.unattributed += count;
--- a/src/common/slots/SlotTypes.ts
+++ b/src/common/slots/SlotTypes.ts
@@ -9,6 +9,8 @@
     startId: z.string(),
     /** Sequence number of the newest grant that the borrower has applied, 0 for none. */
     applied: z.number().int().nonnegative(),
+    /** Slots of the applied grant that the borrower keeps; it uses no more until a newer grant arrives. */
+    usable: z.number().int().nonnegative(),
     /** Slots that the borrower could use now. */
     want: z.number().int().nonnegative(),
     /** Slots that it would like at hand beyond those, when nobody else needs them. */
@@ -35,6 +37,8 @@
     /** Rises with every grant to the same borrower. */
     seq: z.number().int().positive(),
     granted: z.number().int().nonnegative(),
+    /** True when borrowers want more than there is, so that nobody should hold what it does not need. */
+    isContended: z.boolean(),
     /** Validity of the grant in ms, counted from when the borrower sent its request. */
     leaseMs: z.number().nonnegative(),
     /** Slots that the upstream bears in total at present. */
