Fairness spans instances, and overload no longer ends goodput

Change: admission by measured rate, hopeless requests are refused when their turn comes; owners divide slots by account and weight, and call one back wherever it frees first; only a heartbeat later than the break clears a suspect.

--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -2,8 +2,13 @@
  * The list of all scenarios.
  */
 import { type Scenario } from "./Scenario.ts";
+import { domain } from "./scenarios/Domain.ts";
+import { fair } from "./scenarios/Fair.ts";
+import { overload } from "./scenarios/Overload.ts";
 import { path } from "./scenarios/Path.ts";
+import { poison } from "./scenarios/Poison.ts";
+import { ramp } from "./scenarios/Ramp.ts";
 import { replay } from "./scenarios/Replay.ts";
 import { session } from "./scenarios/Session.ts";
 
-export const scenarios: readonly Scenario[] = [path, replay, session];
+export const scenarios: readonly Scenario[] = [path, domain, ramp, fair, overload, poison, session, replay];
--- /dev/null
+++ b/bench/scenarios/Fair.ts
@@ -0,0 +1,115 @@
+/**
+ * `fair`: one account at ten times its share beside light ones, over all instances.
+ */
+import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
+import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
+import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
+
+const DOMAINS = ["a", "b", "c", "d"];
+const CAPACITY = 8;
+const WORK_MS = 200;
+const DEADLINE_MS = 8000;
+const RUN_MS = 20_000;
+const WARM_UP_MS = 4000;
+/** Requests a second that all engines bear: four engines, slowed a little by full batches. */
+const BEARABLE_PER_S = 4 * CAPACITY * 1000 / (WORK_MS * 1.3);
+const LIGHT = ["l1", "l2", "l3", "l4"];
+/** Accounts that all ask for more than their share, with these weights. */
+const WEIGHTS: Readonly<Record<string, number>> = { w1: 1, w2: 2, w4: 4 };
+
+interface Run {
+    readonly world: World;
+    readonly latencies: Map<string, number[]>;
+    readonly served: Map<string, number>;
+    readonly busy: number;
+}
+
+const names = [...LIGHT, "heavy", ...Object.keys(WEIGHTS)];
+
+const prepare = async (seed: number): Promise<World> => {
+    const world = new World(seed, eightInstances);
+    await world.start([
+        ...DOMAINS.map(name => domainRow(name)),
+        ...names.map(name => accountRow(name, WEIGHTS[name] ?? 1)),
+        versionRow("m", "v1", 100),
+        ...names.map(name => allowModel(name, "m")),
+    ]);
+    for (const domain of DOMAINS) {
+        world.addUpstream({ id: `e-${domain}`, domain, versions: [{ model: "m", version: "v1" }], capacity: CAPACITY });
+    }
+    await world.advance(3000);
+    return world;
+};
+
+/** Offers load by account in requests a second, and measures after the warm-up. */
+const offer = async (seed: number, rates: Readonly<Record<string, number>>): Promise<Run> => {
+    const world = await prepare(seed);
+    const latencies = new Map<string, number[]>();
+    const served = new Map<string, number>();
+    const from = world.now + WARM_UP_MS;
+    const end = world.now + RUN_MS;
+    let count = 0;
+    for (const [name, rate] of Object.entries(rates)) {
+        const account = { name, weight: WEIGHTS[name] ?? 1 };
+        world.arrivals(() => rate, end, () => {
+            const startedAt = world.now;
+            const req = simRequest(world.clock, `r${count++}`, account, DEADLINE_MS);
+            world.request(world.random.pick(world.ready), req, simWork("m@v1", req.id), WORK_MS).then(() => {
+                if (startedAt >= from && world.now <= end) {
+                    latencies.set(name, [...latencies.get(name) ?? [], world.now - startedAt]);
+                }
+                if (world.now >= from && world.now <= end) {
+                    served.set(name, (served.get(name) ?? 0) + 1);
+                }
+            }, () => undefined);
+        });
+    }
+    let samples = 0;
+    let running = 0;
+    world.every(50, () => {
+        if (world.now >= from && world.now < end) {
+            samples++;
+            running += world.upstreams.reduce((sum, upstream) => sum + upstream.running, 0);
+        }
+    });
+    await world.advance(RUN_MS);
+    world.dispose();
+    return { world, latencies, served, busy: running / (samples * CAPACITY * DOMAINS.length) };
+};
+
+/** Jain's index of the values: 1 when all are equal. */
+const jainIndex = (values: readonly number[]): number => {
+    const sum = values.reduce((total, value) => total + value, 0);
+    const squares = values.reduce((total, value) => total + value * value, 0);
+    return sum * sum / (values.length * squares);
+};
+
+const run = async (seed: number): Promise<Outcome> => {
+    const share = BEARABLE_PER_S / 5;
+    const light = Object.fromEntries(LIGHT.map(name => [name, share * 0.5]));
+    const alone = await offer(seed, light);
+    const beside = await offer(seed, { ...light, heavy: share * 10 });
+    const weighted = await offer(seed, Object.fromEntries(Object.keys(WEIGHTS).map(name => [name, BEARABLE_PER_S])));
+    const p95 = (item: Run): number => quantile(LIGHT.flatMap(name => item.latencies.get(name) ?? []), 0.95);
+    const byWeight = Object.entries(WEIGHTS).map(([name, weight]) => (weighted.served.get(name) ?? 0) / weight);
+    const lightServed = LIGHT.reduce((sum, name) => sum + (beside.latencies.get(name)?.length ?? 0), 0);
+    return {
+        violations: {},
+        figures: {
+            jain: round(jainIndex(byWeight)),
+            light_p95_over_alone: round(p95(beside) / p95(alone)),
+            light_p95_alone_ms: round(p95(alone)),
+            light_answered: lightServed,
+            heavy_answered: beside.served.get("heavy") ?? 0,
+            utilization: round(beside.busy),
+        },
+    };
+};
+
+export const fair: Scenario = {
+    name: "fair",
+    summary: "one account at ten times its share beside light ones, over all instances",
+    isExact: true,
+    run,
+};
--- /dev/null
+++ b/bench/scenarios/Overload.ts
@@ -0,0 +1,92 @@
+/**
+ * `overload`: goodput at up to three times the capacity. A request counts when it is answered in time.
+ */
+import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
+import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
+import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { isRouterError } from "../../src/common/errors/RouterError.ts";
+import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
+
+const DOMAINS = ["a", "b", "c", "d"];
+const CAPACITY = 8;
+const WORK_MS = 200;
+const DEADLINE_MS = 1500;
+const RUN_MS = 12_000;
+const WARM_UP_MS = 3000;
+const BEARABLE_PER_S = 4 * CAPACITY * 1000 / (WORK_MS * 1.3);
+const LOADS = [0.7, 1, 2, 3];
+
+interface Goodput {
+    readonly answered: number;
+    readonly falseNotRun: number;
+    readonly refusalP95Ms: number;
+}
+
+const offer = async (seed: number, load: number): Promise<Goodput> => {
+    const world = new World(seed, eightInstances);
+    await world.start([
+        ...DOMAINS.map(name => domainRow(name)),
+        accountRow("x"),
+        versionRow("m", "v1", 100),
+        allowModel("x", "m"),
+    ]);
+    for (const domain of DOMAINS) {
+        world.addUpstream({ id: `e-${domain}`, domain, versions: [{ model: "m", version: "v1" }], capacity: CAPACITY });
+    }
+    await world.advance(3000);
+    const from = world.now + WARM_UP_MS;
+    const end = world.now + RUN_MS;
+    const refusals: number[] = [];
+    const notRun = new Set<string>();
+    let answered = 0;
+    let count = 0;
+    world.arrivals(() => BEARABLE_PER_S * load, end, () => {
+        const id = `r${count++}`;
+        const startedAt = world.now;
+        const req = simRequest(world.clock, id, { name: "x", weight: 1 }, DEADLINE_MS);
+        world.request(world.random.pick(world.ready), req, simWork("m@v1", id), WORK_MS).then(() => {
+            answered += startedAt >= from && world.now - startedAt <= DEADLINE_MS ? 1 : 0;
+        }, (err: unknown) => {
+            refusals.push(world.now - startedAt);
+            if (isRouterError(err) && err.run === "not_run") {
+                notRun.add(id);
+            }
+        });
+    });
+    await world.advance(RUN_MS + DEADLINE_MS);
+    const begun = world.upstreams.flatMap(upstream => upstream.log).map(id => id.slice(0, id.lastIndexOf("-")));
+    world.dispose();
+    return {
+        answered: answered * 1000 / (RUN_MS - WARM_UP_MS),
+        falseNotRun: begun.filter(id => notRun.has(id)).length,
+        refusalP95Ms: refusals.length === 0 ? 0 : quantile(refusals, 0.95),
+    };
+};
+
+const run = async (seed: number): Promise<Outcome> => {
+    const results: Goodput[] = [];
+    for (const load of LOADS) {
+        results.push(await offer(seed, load));
+    }
+    const peak = Math.max(...results.map(item => item.answered));
+    const [atSeventy, atOne, atTwo, atThree] = results.map(item => item.answered);
+    return {
+        violations: { false_not_run: results.reduce((sum, item) => sum + item.falseNotRun, 0) },
+        figures: {
+            goodput_at_0_7: round(atSeventy ?? NaN, 1),
+            goodput_at_1: round(atOne ?? NaN, 1),
+            goodput_at_2: round(atTwo ?? NaN, 1),
+            goodput_at_3: round(atThree ?? NaN, 1),
+            goodput_at_2_over_peak: round((atTwo ?? NaN) / peak),
+            peak_over_bearable: round(peak / BEARABLE_PER_S),
+            refusal_p95_ms_at_2: round(results[2]?.refusalP95Ms ?? NaN, 1),
+        },
+    };
+};
+
+export const overload: Scenario = {
+    name: "overload",
+    summary: "goodput at up to three times the capacity",
+    isExact: true,
+    run,
+};
--- /dev/null
+++ b/bench/scenarios/Ramp.ts
@@ -0,0 +1,93 @@
+/**
+ * `ramp`: cold starts and silent re-cold under full load from all instances.
+ */
+import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
+import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
+import { type SimUpstream } from "../../addons/fakes/SimUpstream.ts";
+import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { type Outcome, round, type Scenario } from "../Scenario.ts";
+
+const CAPACITY = 16;
+const COLD = 2;
+const WARM_MS = 10_000;
+const WORK_MS = 200;
+const DEADLINE_MS = 4000;
+const SETTLE_MS = 2000;
+/** More than all upstreams bear when warm. */
+const OFFERED_PER_S = 400;
+const DOMAINS = ["a", "b", "c", "d"];
+const COLD_RUN_MS = 20_000;
+const RECOLD_RUN_MS = 15_000;
+
+const run = async (seed: number): Promise<Outcome> => {
+    const world = new World(seed, eightInstances);
+    await world.start([
+        ...DOMAINS.map(name => domainRow(name)),
+        accountRow("x"),
+        versionRow("m", "v1", 100),
+        allowModel("x", "m"),
+    ]);
+    const end = world.now + SETTLE_MS + COLD_RUN_MS + RECOLD_RUN_MS;
+    let answered = 0;
+    let count = 0;
+    world.arrivals(() => OFFERED_PER_S, end, () => {
+        const req = simRequest(world.clock, `r${count++}`, { name: "x", weight: 1 }, DEADLINE_MS);
+        const node = world.random.pick(world.ready);
+        world.request(node, req, simWork("m@v1"), WORK_MS).then(() => answered++, () => undefined);
+    });
+    const engines = DOMAINS.map(domain => addEngine(world, domain));
+    const warmMs = await timeToWarm(world, engines, COLD_RUN_MS);
+    // One engine restarts under its own id, the other without a word.
+    world.upstream("e-a").crash();
+    world.upstream("e-a").start();
+    const silent = world.upstream("e-b");
+    silent.start(false);
+    await world.advance(RECOLD_RUN_MS);
+    world.dispose();
+    return {
+        violations: {
+            over_capacity: sum(engines.filter(engine => engine !== silent), engine => engine.overloads),
+            upstream_deaths: sum(engines, engine => engine.deaths),
+        },
+        figures: {
+            answered,
+            time_to_warm_over_ideal: round(warmMs / WARM_MS),
+            silent_recold_overloads: silent.overloads,
+        },
+    };
+};
+
+const addEngine = (world: World, domain: string): SimUpstream =>
+    world.addUpstream({
+        id: `e-${domain}`,
+        domain,
+        versions: [{ model: "m", version: "v1" }],
+        capacity: CAPACITY,
+        coldCapacity: COLD,
+        warmMs: WARM_MS,
+        deathFactor: 12,
+    });
+
+/** Time until all engines together have run at 90 % of their warm capacity, in ms. */
+const timeToWarm = async (world: World, engines: readonly SimUpstream[], limitMs: number): Promise<number> => {
+    const startedAt = world.now;
+    let warmAt: number | undefined;
+    while (world.now - startedAt < limitMs) {
+        await world.advance(100);
+        const running = sum(engines, engine => engine.running);
+        if (warmAt === undefined && running >= 0.9 * CAPACITY * engines.length) {
+            warmAt = world.now - startedAt;
+        }
+    }
+    return warmAt ?? Infinity;
+};
+
+const sum = (engines: readonly SimUpstream[], valueOf: (engine: SimUpstream) => number): number =>
+    engines.reduce((total, engine) => total + valueOf(engine), 0);
+
+export const ramp: Scenario = {
+    name: "ramp",
+    summary: "cold starts and silent re-cold under full load from all instances",
+    isExact: true,
+    run,
+};
--- a/src/common/policy/Suspects.ts
+++ b/src/common/policy/Suspects.ts
@@ -11,7 +11,7 @@
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { rendezvous } from "../routing/Hash.ts";
 import { type Clock, sleep } from "../time/Clock.ts";
-import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { type Upstream, UPSTREAM_LEASE_MS, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
 
 /** Crashes after which a request is not run any more. */
 const MAX_CRASHES = 2;
@@ -25,8 +25,10 @@
 const PERMIT_PAUSE_MS = 50;
 /** A permit that is not returned ends after this time, in ms. */
 const PERMIT_LIFE_MS = 30_000;
-/** An upstream that repeats its announcement this long after a broken connection did not crash, in ms. */
-const ALIVE_PROOF_MS = 2500;
+/** A heartbeat that was sent before a crash may arrive this much later, in ms. */
+const HEARTBEAT_DELAY_MS = 1600;
+/** Time after a broken connection at which heartbeats since then tell whether the upstream crashed, in ms. */
+const ALIVE_PROOF_MS = 4000;
 /** Most suspects that are remembered. */
 const MAX_SUSPECTS = 10_000;
 
@@ -118,7 +120,8 @@
         if (crashes >= MAX_CRASHES) {
             this.quarantined.fire({ fingerprint, until: this.clock.now() + QUARANTINE_MS });
         }
-        this.clock.schedule(ALIVE_PROOF_MS, () => this.reviewCrash(fingerprint, upstream));
+        const provenAt = this.clock.monotonic() + HEARTBEAT_DELAY_MS + UPSTREAM_LEASE_MS;
+        this.clock.schedule(ALIVE_PROOF_MS, () => this.reviewCrash(fingerprint, upstream, provenAt));
         await this.tell(fingerprint, crashes);
     }
 
@@ -141,8 +144,8 @@
     }
 
     /** A heartbeat of the same start after the break shows that only the connection was lost. */
-    private reviewCrash(fingerprint: string, upstream: Upstream): void {
-        const isSameStart = this.registry.get(upstream.announcement.id) === upstream;
+    private reviewCrash(fingerprint: string, upstream: Upstream, provenAt: number): void {
+        const isSameStart = this.registry.get(upstream.announcement.id) === upstream && upstream.leaseUntil > provenAt;
         const suspect = this.suspects.get(fingerprint);
         if (isSameStart && suspect !== undefined && suspect.crashes > 0) {
             this.set(fingerprint, suspect.crashes - 1);
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -12,16 +12,13 @@
 import { Breakers } from "./Breakers.ts";
 import { FairQueue, type QueueEntry } from "./FairQueue.ts";
 import { type PrefixIndex } from "./PrefixIndex.ts";
+import { ServiceRate } from "./ServiceRate.ts";
 import { type Candidate, chooseUpstream, type Demand } from "./UpstreamChooser.ts";
 
 /** Most requests that wait for one target on this instance. */
 const MAX_QUEUE_LENGTH = 2000;
-/** Assumed time of a request before any has completed, in ms. */
-const DEFAULT_REQUEST_MS = 500;
 /** When a caller may come back after it met a target without upstreams, in ms. */
 const NO_UPSTREAM_RETRY_MS = 1000;
-/** Weight of the newest request in the mean request time of a target. */
-const MEAN_WEIGHT = 0.05;
 
 /** A request that wants a place. */
 export interface Job extends QueueEntry {
@@ -53,7 +50,7 @@
 interface TargetState {
     readonly queue: FairQueue<Waiting>;
     readonly waiting: Set<Waiting>;
-    meanMs: number;
+    readonly rate: ServiceRate;
 }
 
 /** What the dispatcher works with. */
@@ -163,19 +160,24 @@
         if (eligible.length === 0) {
             throw noUpstreamError(job);
         }
-        const slots = eligible.reduce((total, upstream) => total + Math.max(1, this.parts.slots.limitOf(upstream)), 0);
-        const ahead = state.queue.countAhead(job.account, job.weight, job.priority);
-        const meanMs = state.meanMs || DEFAULT_REQUEST_MS;
-        const waitMs = state.queue.length === 0 ? 0 : (ahead + 1) * meanMs / slots;
-        const leftMs = job.deadline - this.parts.clock.monotonic();
-        if (waitMs + meanMs > leftMs && state.queue.length > 0) {
-            throw overloadedError(job, waitMs);
+        if (state.queue.length === 0) {
+            return;
         }
-        if (state.queue.length >= MAX_QUEUE_LENGTH) {
+        const now = this.parts.clock.monotonic();
+        const slots = eligible.reduce((total, upstream) => total + this.parts.slots.granted(upstream), 0);
+        const ahead = state.queue.countAhead(job.account, job.weight, job.priority);
+        const waitMs = state.rate.waitMs(ahead + 1, slots, now);
+        const isLate = waitMs + state.rate.meanMs > job.deadline - now;
+        if (isLate || state.queue.length >= MAX_QUEUE_LENGTH) {
             throw overloadedError(job, waitMs);
         }
     }
 
+    /** A request that cannot end in time any more would only take the place of one that can. */
+    private isHopeless(job: Job, state: TargetState): boolean {
+        return job.deadline - this.parts.clock.monotonic() < state.rate.meanMs;
+    }
+
     private pumpAll(upstream: Upstream): void {
         for (const target of upstream.targets) {
             this.pump(target);
@@ -189,19 +191,32 @@
         }
         let assignment: Assignment | undefined;
         const isReady = (waiting: Waiting): boolean => {
+            assignment = undefined;
+            if (this.isHopeless(waiting, state)) {
+                return true;
+            }
             assignment = this.tryAssign(waiting);
             return assignment !== undefined;
         };
         while (this.hasFreeSlot(target)) {
             const next = state.queue.dequeue(isReady);
-            if (next === undefined || assignment === undefined) {
+            if (next === undefined) {
                 break;
             }
-            next.resolve(assignment);
+            this.settle(next, assignment, state);
         }
         this.signalDemand(target, state);
     }
 
+    private settle(waiting: Waiting, assignment: Assignment | undefined, state: TargetState): void {
+        if (assignment !== undefined) {
+            waiting.resolve(assignment);
+            return;
+        }
+        state.queue.charge(waiting.account, waiting.weight, -waiting.cost);
+        waiting.reject(overloadedError(waiting, state.rate.meanMs));
+    }
+
     private hasFreeSlot(target: Target): boolean {
         return this.parts.registry.serving(target).some(upstream => this.parts.slots.freeSlots(upstream) > 0);
     }
@@ -217,9 +232,12 @@
 
     private signalDemand(target: Target, state: TargetState): void {
         const upstreams = this.parts.registry.serving(target).filter(upstream => this.isInService(upstream));
-        const each = Math.ceil(state.queue.length / Math.max(1, upstreams.length));
+        const waiting = state.queue.waitingByAccount().map(item => ({
+            ...item,
+            count: Math.ceil(item.count / Math.max(1, upstreams.length)),
+        }));
         for (const upstream of upstreams) {
-            this.parts.slots.demand(upstream, each);
+            this.parts.slots.demand(upstream, waiting);
         }
     }
 
@@ -230,7 +248,7 @@
         const { domain, otherDomainMs } = this.parts;
         const demand: Demand = { domain, otherDomainMs, prefillMs: job.prefillMs, now };
         const chosen = chooseUpstream(candidates, demand, this.rotation++);
-        if (chosen === undefined || !this.parts.slots.tryTake(chosen.upstream, job.deadline)) {
+        if (chosen === undefined || !this.parts.slots.tryTake(chosen.upstream, job.deadline, job)) {
             return undefined;
         }
         this.breakers.onStart(chosen.upstream);
@@ -268,9 +286,9 @@
                     return;
                 }
                 isReleased = true;
-                state.meanMs += (result.durationMs - state.meanMs) * (state.meanMs === 0 ? 1 : MEAN_WEIGHT);
+                state.rate.onCompleted(result.durationMs, this.parts.clock.monotonic());
                 this.breakers.onEnd(upstream, result.isUpstreamFault);
-                this.parts.slots.release(upstream, result);
+                this.parts.slots.release(upstream, result, job);
             },
         };
     }
@@ -311,7 +329,7 @@
     private stateOf(target: Target): TargetState {
         let state = this.targets.get(target);
         if (state === undefined) {
-            state = { queue: new FairQueue(), waiting: new Set(), meanMs: 0 };
+            state = { queue: new FairQueue(), waiting: new Set(), rate: new ServiceRate() };
             this.targets.set(target, state);
         }
         return state;
--- a/src/common/routing/FairQueue.ts
+++ b/src/common/routing/FairQueue.ts
@@ -80,6 +80,12 @@
         queue.virtualTime += cost / queue.weight;
     }
 
+    /** Requests that wait, by account. */
+    public waitingByAccount(): { account: string; weight: number; count: number; }[] {
+        const waiting = [...this.accounts].filter(([, queue]) => queue.entries.length > 0);
+        return waiting.map(([account, queue]) => ({ account, weight: queue.weight, count: queue.entries.length }));
+    }
+
     /** Number of entries that would be served before a new entry of this account and priority. */
     public countAhead(account: string, weight: number, priority: number): number {
         const own = this.accounts.get(account);
--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -6,7 +6,7 @@
 import { Emitter } from "../lifecycle/Emitter.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
 import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
-import { MAX_CLOCK_DRIFT, SLOT_RENEWAL_MS, type SlotGrant, type SlotRequest } from "./SlotTypes.ts";
+import { type AccountNeed, MAX_CLOCK_DRIFT, SLOT_RENEWAL_MS, type SlotGrant, type SlotRequest } from "./SlotTypes.ts";
 
 /** Spare slots asked for beyond those in use, as a fraction, so that a burst finds some at hand. */
 const SPARE_FRACTION = 0.25;
@@ -24,6 +24,22 @@
     readonly isUpstreamFault: boolean;
 }
 
+/** The client account that a slot is used for. */
+export interface SlotUser {
+    readonly account: string;
+    readonly weight: number;
+}
+
+/** Requests of a client account that wait. */
+export interface WaitingCount extends SlotUser {
+    readonly count: number;
+}
+
+/** Most client accounts that are told apart in one message. */
+const MAX_ACCOUNTS = 32;
+/** A first slot is asked for when an upstream appears, so that its first request does not wait. */
+const FIRST_NEED: WaitingCount = { account: "", weight: 1, count: 1 };
+
 /** Asks the owner for slots. Rejects or resolves with nothing when the owner cannot be reached. */
 export type Borrow = (owner: string, requests: readonly SlotRequest[]) => Promise<readonly SlotGrant[]>;
 
@@ -34,9 +50,10 @@
     isContended: boolean;
     usableUntil: number;
     inUse: number;
+    /** Requests in flight and waiting, by client account. */
+    readonly needs: Map<string, AccountNeed>;
     inUseAtReport: number;
     reportSeq: number;
-    waiting: number;
     limit: number;
     /** Latest monotonic time at which a request in flight must have ended, in ms. */
     busyUntil: number;
@@ -83,6 +100,12 @@
         return Math.max(0, account.granted - account.inUse);
     }
 
+    /** Slots that are lent to this instance, in use or not. */
+    public granted(upstream: Upstream): number {
+        const account = this.accountOf(upstream);
+        return account === undefined ? 0 : Math.max(account.inUse, account.granted);
+    }
+
     /** Requests of this instance in flight on the upstream. */
     public inFlight(upstream: Upstream): number {
         return this.accountOf(upstream)?.inUse ?? 0;
@@ -112,24 +135,29 @@
         return this.accountOf(upstream)?.meanMs ?? 0;
     }
 
-    /** Takes a slot for a request that ends by `deadline` (monotonic, in ms). Returns false when none is free. */
-    public tryTake(upstream: Upstream, deadline: number): boolean {
+    /**
+     * Takes a slot for a request of a client account that ends by `deadline` (monotonic, in ms). Returns false
+     * when none is free.
+     */
+    public tryTake(upstream: Upstream, deadline: number, user: SlotUser): boolean {
         const account = this.accountOf(upstream);
         if (account === undefined || this.freeSlots(upstream) === 0) {
             return false;
         }
         account.inUse++;
+        addInUse(account, user, 1);
         account.busyUntil = Math.max(account.busyUntil, deadline);
         return true;
     }
 
     /** Returns a slot. */
-    public release(upstream: Upstream, result: SlotResult): void {
+    public release(upstream: Upstream, result: SlotResult, user: SlotUser): void {
         const account = this.accountOf(upstream);
         if (account === undefined) {
             return;
         }
         account.inUse--;
+        addInUse(account, user, -1);
         account.completed++;
         account.totalMs += result.durationMs;
         account.failed += result.isUpstreamFault ? 1 : 0;
@@ -148,23 +176,24 @@
         }
     }
 
-    /** Says how many requests wait for the upstream; asks its owner at once when slots are short. */
-    public demand(upstream: Upstream, waiting: number): void {
+    /** Says how many requests of each client account wait for the upstream; asks its owner when slots are short. */
+    public demand(upstream: Upstream, waiting: readonly WaitingCount[]): void {
         const account = this.accountOf(upstream);
         if (account === undefined) {
             return;
         }
-        account.waiting = waiting;
+        setWaiting(account, waiting);
         const owner = this.ownerOf(upstream);
         if (owner !== undefined && wantOf(account) > account.granted) {
             void this.askOwner(owner);
         }
     }
 
-    /** Where others wait, a slot that is free and not needed here goes back at once. */
+    /** Where others wait, a slot that is not needed here, or was called back, goes back at once. */
     private returnUnneeded(account: Account): void {
         const owner = this.ownerOf(account.upstream);
-        if (account.isContended && owner !== undefined && wantOf(account) < account.granted) {
+        const isReturned = wantOf(account) < account.granted || account.inUse >= account.granted;
+        if (account.isContended && owner !== undefined && isReturned) {
             void this.askOwner(owner);
         }
     }
@@ -177,9 +206,9 @@
             isContended: false,
             usableUntil: 0,
             inUse: 0,
+            needs: new Map(),
             inUseAtReport: 0,
             reportSeq: -1,
-            waiting: 0,
             limit: upstream.announcement.coldCapacity,
             busyUntil: 0,
             meanMs: 0,
@@ -187,7 +216,7 @@
             failed: 0,
             totalMs: 0,
         });
-        this.demand(upstream, 1);
+        this.demand(upstream, [FIRST_NEED]);
     }
 
     private close(upstream: Upstream): void {
@@ -252,7 +281,7 @@
             startId,
             applied: account.appliedSeq,
             usable: account.granted,
-            want,
+            needs: [...account.needs.values()].sort((a, b) => b.waiting - a.waiting).slice(0, MAX_ACCOUNTS),
             spare,
             inUse: account.inUse,
             busyForMs: account.inUse === 0 ? 0 : Math.max(0, account.busyUntil - now),
@@ -284,8 +313,42 @@
     }
 }
 
-const wantOf = (account: Account): number =>
-    Math.min(account.upstream.announcement.capacity, account.inUse + account.waiting);
+const wantOf = (account: Account): number => {
+    let total = 0;
+    for (const need of account.needs.values()) {
+        total += need.inUse + need.waiting;
+    }
+    return Math.min(account.upstream.announcement.capacity, total);
+};
+
+const addInUse = (account: Account, user: SlotUser, change: number): void => {
+    const need = account.needs.get(user.account);
+    const next = {
+        account: user.account,
+        weight: user.weight,
+        waiting: need?.waiting ?? 0,
+        inUse: (need?.inUse ?? 0) + change,
+    };
+    setNeed(account, next);
+};
+
+const setWaiting = (account: Account, waiting: readonly WaitingCount[]): void => {
+    for (const need of [...account.needs.values()]) {
+        setNeed(account, { ...need, waiting: 0 });
+    }
+    for (const { account: name, weight, count } of waiting) {
+        setNeed(account, { account: name, weight, inUse: account.needs.get(name)?.inUse ?? 0, waiting: count });
+    }
+};
+
+const setNeed = (account: Account, need: AccountNeed): void => {
+    if (need.inUse === 0 && need.waiting === 0) {
+        account.needs.delete(need.account);
+    }
+    else {
+        account.needs.set(need.account, need);
+    }
+};
 
 /** Least time between two requests to the same owner, in ms. */
 const ASK_AGAIN_MS = 2;
--- a/src/common/slots/SlotLender.test.ts
+++ b/src/common/slots/SlotLender.test.ts
@@ -24,7 +24,7 @@
             startId: "s",
             applied,
             usable,
-            want,
+            needs: want === 0 ? [] : [{ account: "x", weight: 1, inUse, waiting: want - inUse }],
             spare: 0,
             inUse,
             busyForMs: inUse === 0 ? 0 : 10_000,
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -2,12 +2,13 @@
  * The owner's side of an upstream's slots. What is lent, together with requests that may still run under
  * a lost loan, never exceeds what the upstream bears, whoever asks and in whatever order messages arrive.
  */
-import { hash32 } from "../routing/Hash.ts";
 import { type Clock } from "../time/Clock.ts";
 import { type Upstream, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { type Allotment, divideSlots } from "./FairAllotment.ts";
 import { ownedPart, type Ownership } from "./OwnerTable.ts";
 import { RAMP_STEP_MS, SlotRamp } from "./SlotRamp.ts";
 import {
+    type AccountNeed,
     MAX_CLOCK_DRIFT,
     MAX_REQUEST_MS,
     OWNER_HANDOVER_MS,
@@ -40,8 +41,11 @@
     usable: number;
     usableUntil: number;
     nudgedAt: number;
+    needs: readonly AccountNeed[];
     want: number;
     spare: number;
+    /** Slots of the newest grant. */
+    granted: number;
     inUse: number;
     busyUntil: number;
     /** Monotonic time of the borrower's last message, in ms. */
@@ -131,38 +135,45 @@
         }
         this.stepRamp(book, upstream, now);
         book.lendable = Math.max(0, ownedPart(book.ramp.limit, ownership.fraction) - book.unattributed);
-        const granted = isHandover ? 0 : this.allot(book, borrower, req, now);
+        const parts = allotments(book, now);
+        loan.granted = isHandover ? 0 : allot(book, borrower, parts, now);
         loan.seq++;
-        loan.grants.push({ seq: loan.seq, granted, expiresAt: now + LOST_AFTER_MS });
-        const isContended = sumWants(book) > book.lendable;
+        loan.grants.push({ seq: loan.seq, granted: loan.granted, expiresAt: now + LOST_AFTER_MS });
         if (!isHandover) {
-            this.nudgeOthers(book, req.upstream, borrower, isContended, now);
+            this.nudgeOthers(book, req.upstream, borrower, parts, now);
         }
-        const limit = book.ramp.limit;
         return {
             upstream: req.upstream,
             startId: req.startId,
             seq: loan.seq,
-            granted,
-            isContended,
+            granted: loan.granted,
+            isContended: isContended(book),
             leaseMs: SLOT_LEASE_MS,
-            limit,
+            limit: book.ramp.limit,
         };
     }
 
-    /** Calls back what some hold and others need, and tells those in need when there is something to lend. */
-    private nudgeOthers(book: Book, upstream: string, borrower: string, isContended: boolean, now: number): void {
+    /** Tells borrowers in need when there is something to lend, and calls back what others hold when there is not. */
+    private nudgeOthers(
+        book: Book,
+        upstream: string,
+        borrower: string,
+        parts: Map<string, Allotment>,
+        now: number,
+    ): void {
         let free = book.lendable - committedToOthers(book, "", now);
         for (const [name, loan] of book.loans) {
             const held = reserved(loan, now);
-            const isInNeed = loan.want > held && free > 0;
-            const isHolding = isContended && held > Math.max(loan.want, loan.inUse);
-            if (name === borrower || !(isInNeed || isHolding) || now - loan.nudgedAt < NUDGE_PAUSE_MS) {
+            const missing = (parts.get(name)?.needed ?? 0) - held;
+            const isServed = missing > 0 && free > 0;
+            const isCalled = missing <= 0 && isContended(book) && hasOthersInNeed(book, name, parts, now)
+                && willReuse(loan, held);
+            if (name === borrower || !(isServed || isCalled) || now - loan.nudgedAt < NUDGE_PAUSE_MS) {
                 continue;
             }
             loan.nudgedAt = now;
-            free -= isInNeed ? loan.want - held : 0;
-            this.nudge(name, upstream, isContended);
+            free -= isServed ? missing : 0;
+            this.nudge(name, upstream, isContended(book));
         }
     }
 
@@ -182,11 +193,6 @@
         reduceUnattributed(book, upstream, now);
     }
 
-    private allot(book: Book, borrower: string, req: SlotRequest, now: number): number {
-        const free = Math.max(0, book.lendable - committedToOthers(book, borrower, now));
-        return Math.min(req.want + req.spare, free, fairAllotment(book, borrower, now));
-    }
-
     private bookOf(upstream: Upstream, now: number): Book {
         const { id, startId } = upstream.announcement;
         const known = this.books.get(id);
@@ -239,7 +245,8 @@
     loan.usable = req.usable;
     loan.usableUntil = now + LOST_AFTER_MS;
     loan.seenAt = now;
-    loan.want = req.want;
+    loan.needs = req.needs;
+    loan.want = wantOf(req.needs);
     loan.spare = req.spare;
     loan.inUse = req.inUse;
     loan.busyUntil = now + req.busyForMs * (1 + MAX_CLOCK_DRIFT);
@@ -256,8 +263,10 @@
     usable: 0,
     usableUntil: now,
     nudgedAt: -Infinity,
+    needs: [],
     want: 0,
     spare: 0,
+    granted: 0,
     inUse: 0,
     busyUntil: 0,
     seenAt: now,
@@ -289,6 +298,33 @@
     return total;
 };
 
+const isContended = (book: Book): boolean => sumWants(book) > book.lendable;
+
+/** True when the borrower would use a slot again that its next finished request frees. */
+const willReuse = (loan: Loan, held: number): boolean =>
+    held > loan.inUse || (loan.granted >= loan.inUse && loan.inUse > 0);
+
+/** True when some other borrower holds less than its fair part. */
+const hasOthersInNeed = (book: Book, borrower: string, parts: Map<string, Allotment>, now: number): boolean => {
+    for (const [name, loan] of book.loans) {
+        if (name !== borrower && reserved(loan, now) < (parts.get(name)?.needed ?? 0)) {
+            return true;
+        }
+    }
+    return false;
+};
+
+const allot = (book: Book, borrower: string, parts: Map<string, Allotment>, now: number): number => {
+    const { needed, spare } = parts.get(borrower) ?? { needed: 0, spare: 0 };
+    const free = Math.max(0, book.lendable - committedToOthers(book, borrower, now));
+    const inUse = book.loans.get(borrower)?.inUse ?? 0;
+    if (free === 0 || inUse < needed || !hasOthersInNeed(book, borrower, parts, now)) {
+        return Math.min(needed + spare, free);
+    }
+    // Someone lacks its fair part: whoever of the others finishes a request first gives its slot back.
+    return Math.min(needed, free, Math.max(0, inUse - 1));
+};
+
 const sumWants = (book: Book): number => {
     let total = 0;
     for (const loan of book.loans.values()) {
@@ -319,43 +355,13 @@
     }
 };
 
-/** How often the order among equal borrowers changes, so that the remainder goes round, in ms. */
+/** How often the order among equals changes, so that remainders go round, in ms. */
 const ROTATION_MS = 1000;
 
-/** Max-min fair part of the limit for one borrower: needs first, then spare slots from what is left. */
-const fairAllotment = (book: Book, borrower: string, now: number): number => {
-    const turn = Math.floor(now / ROTATION_MS);
-    const loans = [...book.loans].map(([name, loan]) => ({ name, loan, rank: hash32(`${name}|${turn}`) }));
-    const total = book.lendable;
-    const needs = loans.map(({ name, loan, rank }) => ({ name, rank, amount: loan.want }));
-    const parts = waterFill(total, needs);
-    const rest = total - sum(parts.values());
-    const spares = waterFill(rest, loans.map(({ name, loan, rank }) => ({ name, rank, amount: loan.spare })));
-    return (parts.get(borrower) ?? 0) + (spares.get(borrower) ?? 0);
-};
-
-interface Claim {
-    readonly name: string;
-    readonly rank: number;
-    readonly amount: number;
-}
-
-const waterFill = (total: number, claims: readonly Claim[]): Map<string, number> => {
-    const parts = new Map<string, number>();
-    const ordered = [...claims].sort((a, b) => a.amount - b.amount || a.rank - b.rank);
-    let rest = total;
-    for (const [index, claim] of ordered.entries()) {
-        const part = Math.min(claim.amount, Math.ceil(rest / (ordered.length - index)));
-        parts.set(claim.name, part);
-        rest -= part;
-    }
-    return parts;
+const allotments = (book: Book, now: number): Map<string, Allotment> => {
+    const borrowers = [...book.loans].map(([name, { needs, spare }]) => ({ name, needs, spare }));
+    return divideSlots(book.lendable, borrowers, Math.floor(now / ROTATION_MS));
 };
 
-const sum = (values: Iterable<number>): number => {
-    let total = 0;
-    for (const value of values) {
-        total += value;
-    }
-    return total;
-};
+const wantOf = (needs: readonly AccountNeed[]): number =>
+    needs.reduce((sum, need) => sum + need.inUse + need.waiting, 0);
--- a/src/common/slots/SlotTypes.ts
+++ b/src/common/slots/SlotTypes.ts
@@ -4,6 +4,18 @@
  */
 import { z } from "zod";
 
+const accountNeedSchema = z.object({
+    account: z.string(),
+    weight: z.number().positive(),
+    /** Requests of the account in flight on the upstream. */
+    inUse: z.number().int().nonnegative(),
+    /** Requests of the account that wait and could run there. */
+    waiting: z.number().int().nonnegative(),
+});
+
+/** What one client account needs of an upstream at one borrower. */
+export type AccountNeed = z.infer<typeof accountNeedSchema>;
+
 export const slotRequestSchema = z.object({
     upstream: z.string(),
     startId: z.string(),
@@ -11,8 +23,8 @@
     applied: z.number().int().nonnegative(),
     /** Slots of the applied grant that the borrower keeps; it uses no more until a newer grant arrives. */
     usable: z.number().int().nonnegative(),
-    /** Slots that the borrower could use now. */
-    want: z.number().int().nonnegative(),
+    /** What it could use now, by client account. */
+    needs: z.array(accountNeedSchema),
     /** Slots that it would like at hand beyond those, when nobody else needs them. */
     spare: z.number().int().nonnegative(),
     /** Requests that the borrower has in flight. */
