--- a/bench/scenarios/Ramp.ts
+++ b/bench/scenarios/Ramp.ts
@@ -16,6 +16,8 @@
 /** More than all upstreams bear when warm. */
 const OFFERED_PER_S = 400;
 const DOMAINS = ["a", "b", "c", "d"];
+/** Least time in which a process is back after a crash, in ms. */
+const RESTART_MS = 300;
 const COLD_RUN_MS = 20_000;
 const RECOLD_RUN_MS = 15_000;
 
@@ -39,6 +41,7 @@
     const warmMs = await timeToWarm(world, engines, COLD_RUN_MS);
     // One engine restarts under its own id, the other without a word.
     world.upstream("e-a").crash();
+    await world.advance(RESTART_MS);
     world.upstream("e-a").start();
     const silent = world.upstream("e-b");
     silent.start(false);
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -28,7 +28,7 @@
 import { type Clock } from "../time/Clock.ts";
 import { HybridClock } from "../timeline/HybridClock.ts";
 import { Timeline } from "../timeline/Timeline.ts";
-import { UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { type Upstream, UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
 import { UpstreamRelay } from "../upstreams/UpstreamRelay.ts";
 
 /** Home instances of a session. */
@@ -99,7 +99,8 @@
         this.registry = this.register(new UpstreamRegistry(clock));
         this.prefixes = new PrefixIndex(clock);
         const onCache = this.prefixes.apply.bind(this.prefixes);
-        this.relay = this.register(new UpstreamRelay(clock, network, this.membership, this.registry, onCache));
+        const isInUse = (upstream: Upstream): boolean => this.slots.inFlight(upstream) > 0;
+        this.relay = this.register(new UpstreamRelay(clock, network, this.membership, this.registry, onCache, isInUse));
         this.owners = this.register(new OwnerTable(clock, this.membership, this.registry));
         this.lender = this.createLender();
         this.slots = this.register(this.createSlots());
@@ -173,7 +174,13 @@
         const { clock } = this.parts;
         const ownerOf = (upstream: Parameters<OwnerTable["ownershipOf"]>[0]): string | undefined =>
             this.owners.ownershipOf(upstream)?.owner;
-        return new SlotBook(clock, this.registry, ownerOf, (owner, requests) => this.borrow(owner, requests));
+        return new SlotBook(
+            clock,
+            this.registry,
+            ownerOf,
+            (owner, requests) => this.borrow(owner, requests),
+            this.parts.member.domain,
+        );
     }
 
     private createDispatcher(): Dispatcher {
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -64,7 +64,11 @@
         this.lastHeardAt = clock.monotonic();
         this.register(network.handle("ping", (req, from) => this.onPing(req.members, from)));
         this.register(network.handle("pingOther", async req => ({ isReachable: await this.isReachable(req.target) })));
-        this.register(repeat(clock, PROBE_PERIOD_MS, () => void this.probeNext()));
+        this.register(repeat(clock, PROBE_PERIOD_MS, () => {
+            void this.probe(this.nextTarget());
+            // Whether the own failure domain is cut off or only this instance is known by its neighbours.
+            void this.probe(this.nextNeighbour());
+        }));
     }
 
     public get self(): Member {
@@ -108,10 +112,9 @@
         await Promise.all(others.map(member => this.ping(member.id)));
     }
 
-    private async probeNext(): Promise<void> {
+    private async probe(target: string | undefined): Promise<void> {
         this.forgetOld();
         const startedAt = this.clock.monotonic();
-        const target = this.nextTarget();
         if (target === undefined || await this.ping(target) || this.isDisposed) {
             return;
         }
@@ -127,6 +130,11 @@
         }
     }
 
+    private nextNeighbour(): string | undefined {
+        const neighbours = this.alive().slice(1).filter(member => member.domain === this.own.domain);
+        return neighbours[Math.floor(this.random() * neighbours.length)]?.id;
+    }
+
     private nextTarget(): string | undefined {
         this.probes++;
         if (this.probes % RECONNECT_EVERY === 0) {
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -27,6 +27,8 @@
         reply: empty,
     },
     leaveUpstream: { req: leavingSchema, reply: empty },
+    /** All connections of the sender to the upstream broke, so its process may be gone. */
+    doubtUpstream: { req: leavingSchema, reply: empty },
     borrowSlots: {
         req: z.object({ borrower: z.string(), requests: z.array(slotRequestSchema) }),
         reply: z.object({ grants: z.array(slotGrantSchema) }),
--- a/src/common/policy/Suspects.ts
+++ b/src/common/policy/Suspects.ts
@@ -11,7 +11,12 @@
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { rendezvous } from "../routing/Hash.ts";
 import { type Clock, sleep } from "../time/Clock.ts";
-import { type Upstream, UPSTREAM_LEASE_MS, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import {
+    HEARTBEAT_DELAY_MS,
+    type Upstream,
+    UPSTREAM_LEASE_MS,
+    type UpstreamRegistry,
+} from "../upstreams/UpstreamRegistry.ts";
 
 /** Crashes after which a request is not run any more. */
 const MAX_CRASHES = 2;
@@ -25,8 +30,6 @@
 const PERMIT_PAUSE_MS = 50;
 /** A permit that is not returned ends after this time, in ms. */
 const PERMIT_LIFE_MS = 30_000;
-/** A heartbeat that was sent before a crash may arrive this much later, in ms. */
-const HEARTBEAT_DELAY_MS = 1600;
 /** Time after a broken connection at which heartbeats since then tell whether the upstream crashed, in ms. */
 const ALIVE_PROOF_MS = 4000;
 /** Most suspects that are remembered. */
@@ -233,7 +236,7 @@
     /** The least loaded upstream on which no suspect runs. */
     private freeUpstream(target: string, now: number): string | undefined {
         const free = this.registry.serving(target).filter(upstream =>
-            (this.permits.get(upstream.announcement.id)?.expiresAt ?? 0) <= now
+            upstream.doubtedUntil === 0 && (this.permits.get(upstream.announcement.id)?.expiresAt ?? 0) <= now
         );
         const running = (upstream: Upstream): number => upstream.load?.running ?? 0;
         return [...free].sort((a, b) => running(a) - running(b))[0]?.announcement.id;
--- a/src/common/routing/Attempts.ts
+++ b/src/common/routing/Attempts.ts
@@ -2,12 +2,16 @@
  * Runs a request on one upstream after another until one has answered. Only work that may be repeated, or
  * that provably did not run, is sent a second time; retries stay within the deadline and a budget.
  */
-import { type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
-import { type Assignment, type Dispatcher, type Job } from "../../common/routing/Dispatcher.ts";
-import { RetryBudget } from "../../common/routing/RetryBudget.ts";
-import { type Clock } from "../../common/time/Clock.ts";
-import { type Target } from "../../common/upstreams/Upstream.ts";
+import { isRouterError, type RouterError, routerError, toRouterError } from "../errors/RouterError.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type Admission, type Suspects } from "../policy/Suspects.ts";
+import { type SlotBook } from "../slots/SlotBook.ts";
+import { type Clock } from "../time/Clock.ts";
+import { type Target } from "../upstreams/Upstream.ts";
+import { type Upstream, type UpstreamLoss, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
+import { type UpstreamRelay } from "../upstreams/UpstreamRelay.ts";
+import { type Assignment, type Dispatcher, type Job } from "./Dispatcher.ts";
+import { RetryBudget } from "./RetryBudget.ts";
 
 /** Most attempts of one request. */
 const MAX_ATTEMPTS = 3;
@@ -37,10 +41,29 @@
     readonly fingerprint: string;
 }
 
+/** Aborts an attempt, by itself or together with its request. */
+class AttemptController extends AbortController {
+    private readonly follow = (): void => this.abort();
+
+    public constructor(parent: AbortSignal) {
+        super();
+        if (parent.aborted) {
+            this.abort();
+        }
+        parent.addEventListener("abort", this.follow);
+    }
+
+    public unlink(parent: AbortSignal): void {
+        parent.removeEventListener("abort", this.follow);
+    }
+}
+
 /** An attempt that has a place on an upstream. */
 export interface Attempt {
     readonly id: string;
     readonly assignment: Assignment;
+    /** Aborted with the request, and when the upstream is lost under work that may be repeated. */
+    readonly signal: AbortSignal;
 }
 
 /** What an attempt needs of its surroundings. */
@@ -51,19 +74,35 @@
     readonly onFailure: (ctx: AttemptRequest, attempt: Attempt, err: RouterError, isRetried: boolean) => void;
 }
 
+/** What the attempts work with. */
+export interface AttemptParts {
+    readonly clock: Clock;
+    readonly registry: UpstreamRegistry;
+    readonly relay: UpstreamRelay;
+    readonly slots: SlotBook;
+    readonly dispatcher: Dispatcher;
+    readonly suspects: Suspects;
+}
+
 /** Runs attempts. */
-export class Attempts {
+export class Attempts extends DisposableOwner {
     private readonly clock: Clock;
+    private readonly parts: AttemptParts;
     private readonly dispatcher: Dispatcher;
     private readonly suspects: Suspects;
     private readonly events: AttemptEvents;
     private readonly budgets = new Map<Target, RetryBudget>();
+    /** Attempts under way that can be given up when their upstream is lost. */
+    private readonly repeatable = new Map<Upstream, Set<AbortController>>();
 
-    public constructor(clock: Clock, dispatcher: Dispatcher, suspects: Suspects, events: AttemptEvents) {
-        this.clock = clock;
-        this.dispatcher = dispatcher;
-        this.suspects = suspects;
+    public constructor(parts: AttemptParts, events: AttemptEvents) {
+        super();
+        this.parts = parts;
+        this.clock = parts.clock;
+        this.dispatcher = parts.dispatcher;
+        this.suspects = parts.suspects;
         this.events = events;
+        this.register(parts.registry.onLost(loss => this.onLost(loss)));
     }
 
     /**
@@ -84,7 +123,8 @@
         for (let number = 1;; number++) {
             const admission = await this.admit(ctx, work, mayHaveRun);
             const assignment = await this.acquire(ctx, work, excluded, mayHaveRun, admission);
-            const attempt: Attempt = { id: `${ctx.id}-${number}`, assignment };
+            const controller = this.open(ctx, work, assignment);
+            const attempt: Attempt = { id: `${ctx.id}-${number}`, assignment, signal: controller.signal };
             try {
                 const result = await this.attempt(ctx, attempt, send);
                 admission.end(true);
@@ -101,11 +141,51 @@
                 if (!isRetried) {
                     throw withTruth(ctx, failure, mayHaveRun);
                 }
-                excluded.add(assignment.upstream.announcement.id);
+                this.exclude(excluded, assignment.upstream, failure);
+            }
+            finally {
+                this.close(ctx, assignment, controller);
+            }
+        }
+    }
+
+    /** An upstream that cannot be connected to may be behind a partition, with all others of its failure domain. */
+    private exclude(excluded: Set<string>, upstream: Upstream, failure: RouterError): void {
+        excluded.add(upstream.announcement.id);
+        if (failure.step !== CONNECT_STEP) {
+            return;
+        }
+        for (const other of this.parts.registry.all()) {
+            if (other.announcement.domain === upstream.announcement.domain) {
+                excluded.add(other.announcement.id);
             }
         }
     }
 
+    private open(ctx: AttemptRequest, work: Work, { upstream }: Assignment): AttemptController {
+        const controller = new AttemptController(ctx.signal);
+        if (work.isIdempotent) {
+            const others = this.repeatable.get(upstream) ?? new Set();
+            this.repeatable.set(upstream, others.add(controller));
+        }
+        return controller;
+    }
+
+    private close(ctx: AttemptRequest, { upstream }: Assignment, controller: AttemptController): void {
+        controller.unlink(ctx.signal);
+        const others = this.repeatable.get(upstream);
+        if (others?.delete(controller) === true && others.size === 0) {
+            this.repeatable.delete(upstream);
+        }
+    }
+
+    /** A leaving upstream finishes what it runs; on one that fell silent nothing is waited for any more. */
+    private onLost({ upstream, reason }: UpstreamLoss): void {
+        if (reason !== "left") {
+            this.repeatable.get(upstream)?.forEach(controller => controller.abort());
+        }
+    }
+
     private async admit(ctx: AttemptRequest, work: Work, mayHaveRun: boolean): Promise<Admission> {
         try {
             return await this.suspects.admit(work.fingerprint, ctx.id, work.target, ctx.deadline);
@@ -117,11 +197,24 @@
 
     /** A connection that broke under a request may mean that the request crashed the upstream. */
     private async noteBreak(work: Work, attempt: Attempt, failure: RouterError): Promise<void> {
-        if (failure.code === "upstreamFailed" && failure.isBroken) {
+        if (failure.isBroken) {
             await this.suspects.onBroken(work.fingerprint, attempt.assignment.upstream);
         }
     }
 
+    /** Keeps new work away before the slot is free again; the process may be gone, or a cold one in its place. */
+    private doubtAfter(failure: unknown, upstream: Upstream): void {
+        if (!isRouterError(failure) || upstream.doubtedUntil > 0) {
+            return;
+        }
+        if (failure.isBroken) {
+            this.parts.relay.doubt(upstream);
+        }
+        else if (failure.step === CONNECT_STEP) {
+            this.parts.registry.doubt(upstream);
+        }
+    }
+
     private async acquire(
         ctx: AttemptRequest,
         work: Work,
@@ -160,9 +253,12 @@
         let isUpstreamFault = false;
         try {
             this.events.onDispatch(ctx, attempt);
-            return await send(attempt);
+            const result = await send(attempt);
+            this.trustAfterAnswer(attempt);
+            return result;
         }
         catch (err) {
+            this.doubtAfter(err, attempt.assignment.upstream);
             isUpstreamFault = !ctx.signal.aborted;
             throw err;
         }
@@ -171,6 +267,12 @@
         }
     }
 
+    private trustAfterAnswer({ assignment: { upstream } }: Attempt): void {
+        if (upstream.doubtedUntil > 0) {
+            this.parts.registry.trust(upstream);
+        }
+    }
+
     private budgetOf(target: Target): RetryBudget {
         let budget = this.budgets.get(target);
         if (budget === undefined) {
@@ -181,6 +283,9 @@
     }
 }
 
+/** Step at which a connection to an upstream could not be opened. */
+export const CONNECT_STEP = "connect to upstream";
+
 const failureOf = (attempt: Attempt): { code: "upstreamFailed"; run: "unknown"; step: string; peer: string; } => ({
     code: "upstreamFailed",
     run: "unknown",
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -140,6 +140,7 @@
             const waiting: Waiting = { ...job, resolve: settle(resolve), reject: settle(reject) };
             const giveUp = (err: RouterError): void => {
                 if (state.queue.remove(waiting)) {
+                    this.signalDemand(job.target, state);
                     waiting.reject(err);
                 }
             };
@@ -306,7 +307,7 @@
     private isInService(upstream: Upstream): boolean {
         const table = this.parts.table();
         const { id, domain } = upstream.announcement;
-        return table.isDomainInService(domain) && !table.isUpstreamDrained(id);
+        return table.isDomainInService(domain) && !table.isUpstreamDrained(id) && upstream.doubtedUntil === 0;
     }
 
     private onUpstreamLost(upstream: Upstream): void {
--- a/src/common/routing/UpstreamChooser.ts
+++ b/src/common/routing/UpstreamChooser.ts
@@ -41,13 +41,17 @@
     return expectedWaitMs(candidate, demand.now) + distance + prefill;
 };
 
-const expectedWaitMs = (candidate: Candidate, now: number): number => {
-    const { upstream, inFlight, inFlightAtReport, limit } = candidate;
+/** Requests on the upstream, with this one, as a part of those that it bears. */
+const utilizationOf = ({ upstream, inFlight, inFlightAtReport, limit }: Candidate, now: number): number => {
     const isReportUsed = upstream.load !== undefined && now - upstream.loadAt < REPORT_LIFE_MS;
     const reported = isReportUsed ? (upstream.load?.running ?? 0) + (upstream.load?.queued ?? 0) : 0;
     const others = Math.max(0, reported - inFlightAtReport);
-    const utilization = (inFlight + others + 1) / Math.max(1, limit);
-    const requestMs = candidate.meanMs || upstream.load?.meanMs || DEFAULT_REQUEST_MS;
+    return (inFlight + others + 1) / Math.max(1, limit);
+};
+
+const expectedWaitMs = (candidate: Candidate, now: number): number => {
+    const utilization = utilizationOf(candidate, now);
+    const requestMs = candidate.meanMs || candidate.upstream.load?.meanMs || DEFAULT_REQUEST_MS;
     const overload = Math.max(0, utilization - 1);
     // Batching slows every request a little as the batch fills, so a fuller upstream starts an answer later.
     return requestMs * (overload + BATCH_SLOWDOWN * utilization);
@@ -56,12 +60,26 @@
 /** Part of a request's time by which a full batch delays the start of an answer. */
 const BATCH_SLOWDOWN = 0.2;
 
-/** The candidate with the least expected time; equal ones are taken in turn by `rotation`. */
+/** Below this utilization the own failure domain is not left, as another one may be cut off at any time. */
+const LOCAL_UTILIZATION = 0.8;
+
+/**
+ * The candidate with the least expected time, in the own failure domain while there is room; equal ones are
+ * taken in turn by `rotation`.
+ */
 export const chooseUpstream = (
     candidates: readonly Candidate[],
     demand: Demand,
     rotation: number,
 ): Candidate | undefined => {
+    const local = candidates.filter(candidate =>
+        candidate.upstream.announcement.domain === demand.domain
+        && utilizationOf(candidate, demand.now) <= LOCAL_UTILIZATION
+    );
+    return leastExpected(local.length > 0 ? local : candidates, demand, rotation);
+};
+
+const leastExpected = (candidates: readonly Candidate[], demand: Demand, rotation: number): Candidate | undefined => {
     let best: Candidate | undefined;
     let bestMs = Infinity;
     for (let step = 0; step < candidates.length; step++) {
--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -68,6 +68,8 @@
     private readonly clock: Clock;
     private readonly ownerOf: (upstream: Upstream) => string | undefined;
     private readonly borrow: Borrow;
+    /** Own failure domain. Spare slots elsewhere would be stuck when that domain is cut off. */
+    private readonly domain: string;
     private readonly accounts = new Map<string, Account>();
     private readonly asking = new Set<string>();
     private readonly askAgain = new Set<string>();
@@ -81,11 +83,13 @@
         registry: UpstreamRegistry,
         ownerOf: (upstream: Upstream) => string | undefined,
         borrow: Borrow,
+        domain: string,
     ) {
         super();
         this.clock = clock;
         this.ownerOf = ownerOf;
         this.borrow = borrow;
+        this.domain = domain;
         this.register(registry.onAdded(upstream => this.open(upstream)));
         this.register(registry.onLost(loss => this.close(loss.upstream)));
         this.register(repeat(clock, SLOT_RENEWAL_MS, () => this.renewAll()));
@@ -273,7 +277,8 @@
         const { id, startId } = account.upstream.announcement;
         const meanMs = account.completed === 0 ? 0 : account.totalMs / account.completed;
         const want = wantOf(account);
-        const spare = account.isContended ? 0 : Math.max(MIN_SPARE, Math.ceil(want * SPARE_FRACTION));
+        const hasSpare = !account.isContended && account.upstream.announcement.domain === this.domain;
+        const spare = hasSpare ? Math.max(MIN_SPARE, Math.ceil(want * SPARE_FRACTION)) : 0;
         // From here on no more than this is used of the applied grant, so the owner can lend the rest.
         account.granted = Math.min(account.granted, want + spare);
         const req = {
@@ -302,6 +307,7 @@
             return;
         }
         const isMore = grant.granted > account.granted || this.clock.monotonic() >= account.usableUntil;
+        account.needs.delete(FIRST_NEED.account);
         account.granted = grant.granted;
         account.appliedSeq = grant.seq;
         account.isContended = grant.isContended;
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -22,7 +22,7 @@
 const LOST_AFTER_MS = SLOT_LEASE_MS * (1 + MAX_CLOCK_DRIFT);
 
 /** Least time between two nudges of the same borrower, in ms. */
-const NUDGE_PAUSE_MS = 10;
+const NUDGE_PAUSE_MS = 3;
 
 /** Asks a borrower, named by its instance and start, to renew its loan of an upstream at once. */
 export type Nudge = (borrower: string, upstream: string, isContended: boolean) => void;
@@ -166,8 +166,7 @@
             const held = reserved(loan, now);
             const missing = (parts.get(name)?.needed ?? 0) - held;
             const isServed = missing > 0 && free > 0;
-            const isCalled = missing <= 0 && isContended(book) && hasOthersInNeed(book, name, parts, now)
-                && willReuse(loan, held);
+            const isCalled = isContended(book) && willReuse(loan, held) && owedToNeedier(book, name, parts, now) > 0;
             if (name === borrower || !(isServed || isCalled) || now - loan.nudgedAt < NUDGE_PAUSE_MS) {
                 continue;
             }
@@ -304,25 +303,51 @@
 const willReuse = (loan: Loan, held: number): boolean =>
     held > loan.inUse || (loan.granted >= loan.inUse && loan.inUse > 0);
 
-/** True when some other borrower holds less than its fair part. */
-const hasOthersInNeed = (book: Book, borrower: string, parts: Map<string, Allotment>, now: number): boolean => {
-    for (const [name, loan] of book.loans) {
-        if (name !== borrower && reserved(loan, now) < (parts.get(name)?.needed ?? 0)) {
-            return true;
-        }
-    }
-    return false;
-};
-
 const allot = (book: Book, borrower: string, parts: Map<string, Allotment>, now: number): number => {
     const { needed, spare } = parts.get(borrower) ?? { needed: 0, spare: 0 };
     const free = Math.max(0, book.lendable - committedToOthers(book, borrower, now));
     const inUse = book.loans.get(borrower)?.inUse ?? 0;
-    if (free === 0 || inUse < needed || !hasOthersInNeed(book, borrower, parts, now)) {
+    const owed = owedToNeedier(book, borrower, parts, now);
+    if (owed === 0) {
         return Math.min(needed + spare, free);
     }
     // Someone lacks its fair part: whoever of the others finishes a request first gives its slot back.
-    return Math.min(needed, free, Math.max(0, inUse - 1));
+    return Math.min(needed, Math.max(0, free - owed), Math.max(0, inUse - 1));
+};
+
+/** Slots that borrowers lack whose waiting accounts have less, by weight, than those of `borrower`. */
+const owedToNeedier = (book: Book, borrower: string, parts: Map<string, Allotment>, now: number): number => {
+    const used = usedByAccount(book);
+    const own = book.loans.get(borrower);
+    const ownUse = own === undefined ? Infinity : leastUse(own, used);
+    let owed = 0;
+    for (const [name, loan] of book.loans) {
+        if (name !== borrower && leastUse(loan, used) < ownUse) {
+            owed += Math.max(0, (parts.get(name)?.needed ?? 0) - reserved(loan, now));
+        }
+    }
+    return owed;
+};
+
+/** Slots in use by weight of the neediest account that waits at a borrower. */
+const leastUse = (loan: Loan, used: ReadonlyMap<string, number>): number => {
+    let least = Infinity;
+    for (const { account, weight, waiting } of loan.needs) {
+        if (waiting > 0) {
+            least = Math.min(least, (used.get(account) ?? 0) / weight);
+        }
+    }
+    return least;
+};
+
+const usedByAccount = (book: Book): Map<string, number> => {
+    const used = new Map<string, number>();
+    for (const loan of book.loans.values()) {
+        for (const { account, inUse } of loan.needs) {
+            used.set(account, (used.get(account) ?? 0) + inUse);
+        }
+    }
+    return used;
 };
 
 const sumWants = (book: Book): number => {
--- a/src/common/upstreams/UpstreamRegistry.ts
+++ b/src/common/upstreams/UpstreamRegistry.ts
@@ -9,6 +9,8 @@
 
 /** How long an announcement is valid. Upstreams repeat it every second. */
 export const UPSTREAM_LEASE_MS = 3000;
+/** A heartbeat may arrive this much after it was sent, by way of other instances, in ms. */
+export const HEARTBEAT_DELAY_MS = 1300;
 /** How often expired announcements are looked for. */
 const EXPIRY_PERIOD_MS = 250;
 /** How long a start id that has left is remembered, so that a late heartbeat does not bring it back. */
@@ -22,13 +24,15 @@
     readonly since: number;
     /** Monotonic time until which the announcement is valid, in ms. */
     leaseUntil: number;
+    /** Monotonic time until which heartbeats do not show that the process still runs; 0 when it is not in doubt. */
+    doubtedUntil: number;
     load: LoadReport | undefined;
     /** Monotonic time at which `load` arrived, in ms. */
     loadAt: number;
 }
 
 /** Why an upstream was dropped. */
-export type LossReason = "left" | "expired" | "restarted" | "unreachable";
+export type LossReason = "left" | "expired" | "restarted";
 
 /** An upstream that no longer receives work. */
 export interface UpstreamLoss {
@@ -67,6 +71,7 @@
         }
         if (known !== undefined && isSameStart(known.announcement, announcement)) {
             known.leaseUntil = now + UPSTREAM_LEASE_MS;
+            this.endDoubt(known, now);
             this.updateOffer(known, announcement);
             return true;
         }
@@ -79,10 +84,23 @@
         return true;
     }
 
-    /** Drops an upstream whose process was seen to be gone, before its lease ends. */
-    public markUnreachable(upstream: Upstream): void {
-        if (this.upstreams.get(upstream.announcement.id) === upstream) {
-            this.remove(upstream, "unreachable");
+    /**
+     * Keeps new work from an upstream whose connections broke: its process may be gone, or a cold one may have
+     * taken its place. A heartbeat of the same start that was sent later ends the doubt.
+     */
+    public doubt(upstream: Upstream): void {
+        upstream.doubtedUntil = this.clock.monotonic() + HEARTBEAT_DELAY_MS;
+    }
+
+    /** Ends a doubt: a request that was sent before it was answered since. */
+    public trust(upstream: Upstream): void {
+        upstream.doubtedUntil = 0;
+        this.changed.fire(upstream);
+    }
+
+    private endDoubt(upstream: Upstream, now: number): void {
+        if (upstream.doubtedUntil > 0 && now >= upstream.doubtedUntil) {
+            this.trust(upstream);
         }
     }
 
@@ -126,6 +144,7 @@
             targets: new Set(targetsOf(announcement)),
             since: now,
             leaseUntil: now + UPSTREAM_LEASE_MS,
+            doubtedUntil: 0,
             load: undefined,
             loadAt: 0,
         };
--- a/src/common/upstreams/UpstreamRelay.ts
+++ b/src/common/upstreams/UpstreamRelay.ts
@@ -8,7 +8,7 @@
 import { hash32 } from "../routing/Hash.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
 import { type Announcement, type CacheEvent, type Leaving, type LoadReport } from "./Upstream.ts";
-import { type UpstreamRegistry } from "./UpstreamRegistry.ts";
+import { type Upstream, type UpstreamRegistry } from "./UpstreamRegistry.ts";
 
 /** How often heartbeats are passed on, in ms. */
 const RENEWAL_PERIOD_MS = 1000;
@@ -22,6 +22,8 @@
     private readonly membership: Membership;
     private readonly registry: UpstreamRegistry;
     private readonly onCache: (event: CacheEvent) => void;
+    /** True while requests of this instance run on the upstream. */
+    private readonly isInUse: (upstream: Upstream) => boolean;
     private readonly announcements = new Map<string, Announcement>();
     private readonly byShortId = new Map<number, Announcement>();
     private readonly renewed = new Set<number>();
@@ -34,13 +36,16 @@
         membership: Membership,
         registry: UpstreamRegistry,
         onCache: (event: CacheEvent) => void,
+        isInUse: (upstream: Upstream) => boolean,
     ) {
         super();
+        this.isInUse = isInUse;
         this.network = network;
         this.membership = membership;
         this.registry = registry;
         this.onCache = onCache;
         this.register(network.handle("announceUpstreams", req => this.onAnnounced(req.announcements, req.renewals)));
+        this.register(network.handle("doubtUpstream", req => this.onDoubted(req)));
         this.register(network.handle("leaveUpstream", req => this.onLeft(req)));
         this.register(network.handle("reportUpstreams", req => this.onReported(req.loads, req.caches)));
         this.register(registry.onLost(loss => this.forget(loss.upstream.announcement)));
@@ -65,6 +70,13 @@
         this.tellAll(peer => this.network.call(peer, "leaveUpstream", leaving, CALL_TIMEOUT_MS));
     }
 
+    /** Keeps new work from an upstream whose connections all broke, here and on the other instances. */
+    public doubt(upstream: Upstream): void {
+        const { id, startId } = upstream.announcement;
+        this.registry.doubt(upstream);
+        this.tellAll(peer => this.network.call(peer, "doubtUpstream", { id, startId }, CALL_TIMEOUT_MS));
+    }
+
     public report(report: LoadReport): void {
         this.registry.report(report);
         this.loads.set(report.id, report);
@@ -91,6 +103,15 @@
         return { unknown };
     }
 
+    private onDoubted({ id, startId }: Leaving): Record<string, never> {
+        const upstream = this.registry.get(id);
+        // Requests that still run on it from here show that it is alive.
+        if (upstream?.announcement.startId === startId && !this.isInUse(upstream)) {
+            this.registry.doubt(upstream);
+        }
+        return {};
+    }
+
     private onLeft(leaving: Leaving): Record<string, never> {
         this.registry.leave(leaving);
         return {};
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -54,10 +54,12 @@
 
     private createCallers(settings: Settings): CallerDoor {
         const { core, clock, client } = this;
-        const attempts = new Attempts(clock, core.dispatcher, core.suspects, {
-            onDispatch: (ctx, attempt) => this.onDispatch(ctx, attempt),
-            onFailure: (ctx, attempt, err, isRetried) => this.onFailure(ctx, attempt, err, isRetried),
-        });
+        const attempts = this.register(
+            new Attempts({ ...core, clock }, {
+                onDispatch: (ctx, attempt) => this.onDispatch(ctx, attempt),
+                onFailure: (ctx, attempt, err, isRetried) => this.onFailure(ctx, attempt, err, isRetried),
+            }),
+        );
         const policy = new VersionPolicy({
             follower: core.follower,
             sessions: core.sessions,
--- a/src/node/dispatch/UpstreamClient.ts
+++ b/src/node/dispatch/UpstreamClient.ts
@@ -5,6 +5,7 @@
 import { type Dispatcher as UndiciDispatcher, Pool } from "undici";
 import { type RouterError, routerError, type RunState } from "../../common/errors/RouterError.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
+import { CONNECT_STEP } from "../../common/routing/Attempts.ts";
 import { type Upstream, type UpstreamRegistry } from "../../common/upstreams/UpstreamRegistry.ts";
 
 /** Header that carries the id of an attempt to the upstream and back. */
@@ -12,7 +13,7 @@
 /** Header by which an upstream proves that it did not start a request it refused. */
 export const RUN_HEADER = "x-run";
 /** Time to connect to an upstream, in ms. */
-const CONNECT_TIMEOUT_MS = 1000;
+const CONNECT_TIMEOUT_MS = 300;
 /** How long an idle connection to an upstream is kept, in ms. Shorter than common servers keep theirs. */
 const KEEP_ALIVE_MS = 4000;
 
@@ -144,13 +145,11 @@
 const toError = (err: unknown, upstream: Upstream): RouterError => {
     const { code = "", name = "", message = "" } = err as { code?: string; name?: string; message?: string; };
     const run: RunState = notSentCodes.has(code) ? "not_run" : "unknown";
-    const isTimeout = name === "AbortError" || name === "TimeoutError"
-        || code.endsWith("_TIMEOUT") && run === "unknown";
     const { id } = upstream.announcement;
     return routerError(`upstream ${id}: ${message || name}`, {
-        code: isTimeout ? "deadlineExceeded" : "upstreamFailed",
+        code: "upstreamFailed",
         run,
-        step: "send request",
+        step: run === "not_run" ? CONNECT_STEP : "send request",
         peer: id,
         isBroken: brokenCodes.has(code),
         cause: err,
--- a/src/node/entry/ChatHandler.ts
+++ b/src/node/entry/ChatHandler.ts
@@ -107,7 +107,7 @@
             path: CHAT_PATH,
             headers: engineHeaders(ctx),
             body: exchange.body,
-            signal: ctx.signal,
+            signal: attempt.signal,
             timeoutMs: Math.ceil(ctx.leftMs),
             needsEcho: true,
         });
@@ -181,7 +181,7 @@
             path: `/v1/streams/${attempt.id}`,
             headers: { "last-event-id": relay.lastEventId ?? "" },
             body: undefined,
-            signal: ctx.signal,
+            signal: attempt.signal,
             timeoutMs: Math.ceil(ctx.leftMs),
             needsEcho: true,
         });
--- a/src/node/entry/ServiceHandler.ts
+++ b/src/node/entry/ServiceHandler.ts
@@ -142,7 +142,7 @@
                 path: call.path,
                 headers,
                 body: body.length === 0 ? undefined : body,
-                signal: ctx.signal,
+                signal: attempt.signal,
                 timeoutMs: Math.ceil(ctx.leftMs),
                 needsEcho: false,
             });
