--- a/bench/scenarios/Replay.ts
+++ b/bench/scenarios/Replay.ts
@@ -8,12 +8,15 @@
 
 const FOLDER = new URL("../../traces", import.meta.url).pathname;
 
+/** Mismatches of one trace that are printed. */
+const SHOWN = 3;
+
 const run = async (): Promise<Outcome> => {
     const files = readdirSync(FOLDER).filter(file => file.endsWith(".jsonl")).sort();
     let mismatches = 0;
     for (const file of files) {
         const result = await replayTrace(readFileSync(join(FOLDER, file), "utf8"));
-        result.mismatches.forEach(line => console.error(`${file}: ${line}`));
+        result.mismatches.slice(0, SHOWN).forEach(line => console.error(`${file}: ${line}`));
         mismatches += result.mismatches.length;
     }
     return { violations: { mismatches }, figures: { traces: files.length } };
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -165,7 +165,7 @@
             return;
         }
         const now = this.parts.clock.monotonic();
-        const slots = eligible.reduce((total, upstream) => total + this.parts.slots.granted(upstream), 0);
+        const slots = eligible.reduce((total, upstream) => total + this.parts.slots.obtainable(upstream), 0);
         const ahead = state.queue.countAhead(job.account, job.weight, job.priority);
         const waitMs = state.rate.waitMs(ahead + 1, slots, now);
         const isLate = waitMs + state.rate.meanMs > job.deadline - now;
--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -104,10 +104,13 @@
         return Math.max(0, account.granted - account.inUse);
     }
 
-    /** Slots that are lent to this instance, in use or not. */
-    public granted(upstream: Upstream): number {
+    /** Slots that this instance has or can get: all of them while borrowers want no more than there are. */
+    public obtainable(upstream: Upstream): number {
         const account = this.accountOf(upstream);
-        return account === undefined ? 0 : Math.max(account.inUse, account.granted);
+        if (account === undefined) {
+            return 0;
+        }
+        return account.isContended ? Math.max(account.inUse, account.granted) : account.limit;
     }
 
     /** Requests of this instance in flight on the upstream. */
