A restart never puts an older configuration in force

Change: the own log counts only once the majority has proved how far it is committed, and the newest configuration in force is kept in a file of its own.

--- a/addons/fakes/World.ts
+++ b/addons/fakes/World.ts
@@ -4,9 +4,10 @@
  */
 import { type Bill } from "../../src/common/billing/Bill.ts";
 import { type BillStore } from "../../src/common/billing/BillRecorder.ts";
+import { type Configuration } from "../../src/common/configuration/Configuration.ts";
 import { type LogStore } from "../../src/common/control/LogStore.ts";
 import { routerError } from "../../src/common/errors/RouterError.ts";
-import { InstanceCore } from "../../src/common/instance/InstanceCore.ts";
+import { type ConfigurationStore, InstanceCore } from "../../src/common/instance/InstanceCore.ts";
 import { type Member } from "../../src/common/membership/Member.ts";
 import {
     type Attempt,
@@ -70,8 +71,13 @@
     /** Pairs of groups that cannot reach each other. */
     private cuts: { readonly a: ReadonlySet<string>; readonly b: ReadonlySet<string>; }[] = [];
 
-    public constructor(seed: number, plans: readonly WorldPlan[]) {
+    private readonly configurations = new Map<string, Configuration>();
+    private readonly voters: readonly string[];
+
+    /** The voters of the first start are all control instances, unless named. */
+    public constructor(seed: number, plans: readonly WorldPlan[], voters?: readonly string[]) {
         this.random = new SeededRandom(seed);
+        this.voters = voters ?? plans.filter(plan => plan.isControl).map(plan => plan.id);
         this.plans = plans;
         this.hub = new MemoryHub(this.clock, (from, to) => this.delay(from, to));
     }
@@ -122,8 +128,9 @@
             member: memberOf(plan, this.clock.now()),
             random: this.random.next,
             otherDomainMs: 2,
-            initialVoters: this.plans.filter(item => item.isControl).map(item => item.id),
+            initialVoters: this.voters,
             logStore: plan.isControl ? this.storeOf(id) : undefined,
+            configurationStore: plan.isControl ? this.configurationStoreOf(id) : undefined,
             billStore: plan.isControl ? this.billStoreOf(id) : undefined,
         });
         const attempts = new Attempts({ ...core, clock: this.clock }, { onDispatch: ignore, onFailure: ignore });
@@ -310,6 +317,13 @@
         return store.opened();
     }
 
+    private configurationStoreOf(id: string): ConfigurationStore {
+        return {
+            load: async () => this.configurations.get(id),
+            save: configuration => void this.configurations.set(id, configuration),
+        };
+    }
+
     private billStoreOf(id: string): BillStore {
         const held = this.bills.get(id) ?? new Map<string, Bill>();
         this.bills.set(id, held);
--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -2,8 +2,10 @@
  * The list of all scenarios.
  */
 import { type Scenario } from "./Scenario.ts";
+import { config } from "./scenarios/Config.ts";
 import { domain } from "./scenarios/Domain.ts";
 import { fair } from "./scenarios/Fair.ts";
+import { once } from "./scenarios/Once.ts";
 import { overload } from "./scenarios/Overload.ts";
 import { path } from "./scenarios/Path.ts";
 import { poison } from "./scenarios/Poison.ts";
@@ -11,4 +13,15 @@
 import { replay } from "./scenarios/Replay.ts";
 import { session } from "./scenarios/Session.ts";
 
-export const scenarios: readonly Scenario[] = [path, domain, ramp, fair, overload, poison, session, replay];
+export const scenarios: readonly Scenario[] = [
+    path,
+    once,
+    config,
+    domain,
+    ramp,
+    fair,
+    overload,
+    poison,
+    session,
+    replay,
+];
--- a/src/common/configuration/ConfigurationFollower.ts
+++ b/src/common/configuration/ConfigurationFollower.ts
@@ -85,11 +85,16 @@
         this.changed.fire(this.currentTable);
     }
 
-    /** Asks the sources once. */
-    public async refresh(): Promise<void> {
-        if (this.local !== undefined) {
+    /** Takes the state of the own control log, once that is known to hold all that was committed. */
+    public takeLocal(): void {
+        if (this.local !== undefined && this.local.contactAgeMs <= CONTACT_LEASE_MS) {
             this.take(this.local.configuration);
         }
+    }
+
+    /** Asks the sources once. */
+    public async refresh(): Promise<void> {
+        this.takeLocal();
         if (this.local === undefined || this.local.contactAgeMs > CONTACT_LEASE_MS) {
             const answers = await Promise.all(this.sources().map(source => this.fetch(source)));
             // Without an answer from any control instance the others are asked, one of which may know more.
--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -46,7 +46,12 @@
     /** Age of the newest proof that a majority follows the leader whose log is applied here, in ms. */
     public get contactAgeMs(): number {
         const { voter } = this;
-        return voter.now - (voter.role === "leader" ? this.replicator.majorityAckedAt() : voter.contactAt);
+        if (voter.role !== "leader") {
+            return voter.now - voter.contactAt;
+        }
+        // Before an entry of its own term is committed, a leader does not know how far earlier ones are.
+        const isSettled = voter.log.termAt(voter.commitIndex) === voter.term;
+        return isSettled ? voter.now - this.replicator.majorityAckedAt() : Infinity;
     }
 
     /** Loads what is on disk and takes part from then on. */
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -4,6 +4,7 @@
  */
 import { BillRecorder, type BillStore } from "../billing/BillRecorder.ts";
 import { KeyedExecution } from "../claims/KeyedExecution.ts";
+import { type Configuration } from "../configuration/Configuration.ts";
 import { ConfigurationFollower } from "../configuration/ConfigurationFollower.ts";
 import { ControlClient } from "../control/ControlClient.ts";
 import { ControlLog } from "../control/ControlLog.ts";
@@ -41,6 +42,13 @@
 /** Time for which a quarantine is offered to the control log, in ms. */
 const QUARANTINE_TIMEOUT_MS = 30_000;
 
+/** The newest configuration that was in force, for the next start. */
+export interface ConfigurationStore {
+    load(): Promise<Configuration | undefined>;
+    /** Saves in the background; a copy that was not saved in time only makes the next start fetch it. */
+    save(configuration: Configuration): void;
+}
+
 /** What an instance core is built from. */
 export interface CoreParts {
     readonly clock: Clock;
@@ -55,6 +63,8 @@
     readonly initialVoters: readonly string[];
     /** Durable storage of the control log; set on control instances. */
     readonly logStore: LogStore | undefined;
+    /** Keeps the newest configuration that was in force here; set on instances with a disk. */
+    readonly configurationStore: ConfigurationStore | undefined;
     /** Durable bills; set on control instances. */
     readonly billStore: BillStore | undefined;
 }
@@ -120,12 +130,23 @@
 
     /** Meets the other instances and takes part in the control log. */
     public async start(): Promise<void> {
+        await this.restoreConfiguration();
         await this.control?.start();
         await this.membership.join();
         await this.pinSpread.catchUp();
         await this.follower.refresh();
     }
 
+    /** What was in force here before a restart is in force again at once, and never anything older. */
+    private async restoreConfiguration(): Promise<void> {
+        const store = this.parts.configurationStore;
+        const stored = await store?.load();
+        if (stored !== undefined) {
+            this.follower.take(stored);
+        }
+        this.register(this.follower.onChanged(() => store?.save(this.follower.configuration)));
+    }
+
     private createControl(): ControlLog | undefined {
         const { clock, network, logStore, random, initialVoters } = this.parts;
         if (logStore === undefined || this.controlState === undefined) {
@@ -147,7 +168,7 @@
         };
         const follower = new ConfigurationFollower(this.parts.clock, this.parts.network, this.membership, local);
         if (controlState !== undefined) {
-            this.register(controlState.onChanged(configuration => follower.take(configuration)));
+            this.register(controlState.onChanged(() => follower.takeLocal()));
         }
         return follower;
     }
--- a/src/node/Instance.ts
+++ b/src/node/Instance.ts
@@ -19,6 +19,7 @@
 import { type Settings } from "./settings/SettingsSchema.ts";
 import { DataFolder } from "./storage/DataFolder.ts";
 import { FileBillStore } from "./storage/FileBillStore.ts";
+import { FileConfigurationStore } from "./storage/FileConfigurationStore.ts";
 import { FileLogStore } from "./storage/FileLogStore.ts";
 import { SystemClock } from "./time/SystemClock.ts";
 import { VERSION } from "./Version.ts";
@@ -38,6 +39,7 @@
     readonly folder: DataFolder;
     readonly log: FileLogStore;
     readonly bills: FileBillStore;
+    readonly configuration: FileConfigurationStore;
 }
 
 /** An instance, from start to stop. */
@@ -115,7 +117,8 @@
         const folder = await DataFolder.take(data, deployment, id);
         const log = new FileLogStore(await folder.folder("control"), this.log.part("control"));
         const bills = new FileBillStore(await folder.folder("billing"));
-        return { folder, log, bills };
+        const configuration = new FileConfigurationStore(folder.path, this.log.part("control"));
+        return { folder, log, bills, configuration };
     }
 
     private createCore(): InstanceCore {
@@ -130,6 +133,7 @@
             otherDomainMs: settings.routing.other_domain_ms,
             initialVoters: voters.length === 0 && isAlone ? [settings.instance.id] : voters,
             logStore: this.storage?.log,
+            configurationStore: this.storage?.configuration,
             billStore: this.storage?.bills,
         });
     }
@@ -188,6 +192,7 @@
     private addParts(core: InstanceCore): void {
         const { storage, entry, network, broker, adminDoor } = this;
         this.lifecycle.add(part("storage", none, async () => {
+            await storage?.configuration.flush();
             await storage?.log.close();
             await storage?.bills.close();
             await storage?.folder.release();
--- /dev/null
+++ b/src/node/storage/FileConfigurationStore.ts
@@ -0,0 +1,57 @@
+/**
+ * The newest configuration that was in force here, in a file of its own, for the next start.
+ */
+import { join } from "node:path";
+import { type Configuration, configurationSchema } from "../../common/configuration/Configuration.ts";
+import { type ConfigurationStore } from "../../common/instance/InstanceCore.ts";
+import { type Log } from "../log/Log.ts";
+import { readIfPresent, replaceFile } from "./Files.ts";
+
+const FILE = "configuration.json";
+
+/** Configuration in a data folder. */
+export class FileConfigurationStore implements ConfigurationStore {
+    private readonly file: string;
+    private readonly log: Log;
+    private newest: Configuration | undefined;
+    private writing: Promise<void> | undefined;
+
+    public constructor(folder: string, log: Log) {
+        this.file = join(folder, FILE);
+        this.log = log;
+    }
+
+    public async load(): Promise<Configuration | undefined> {
+        const content = await readIfPresent(this.file);
+        if (content === undefined) {
+            return undefined;
+        }
+        const result = configurationSchema.safeParse(JSON.parse(content.toString("utf8")));
+        if (!result.success) {
+            this.log.warn("The stored configuration cannot be read and is fetched anew.", { file: this.file });
+            return undefined;
+        }
+        return result.data;
+    }
+
+    public save(configuration: Configuration): void {
+        this.newest = configuration;
+        this.writing ??= this.writeAll();
+    }
+
+    /** Resolves when everything saved so far is on disk. */
+    public async flush(): Promise<void> {
+        await this.writing;
+    }
+
+    private async writeAll(): Promise<void> {
+        while (this.newest !== undefined) {
+            const configuration = this.newest;
+            this.newest = undefined;
+            await replaceFile(this.file, JSON.stringify(configuration)).catch((err: unknown) => {
+                this.log.warn("The configuration could not be stored.", { reason: (err as Error).message });
+            });
+        }
+        this.writing = undefined;
+    }
+}
