--- a/addons/fakes/MemoryNetwork.ts
+++ b/addons/fakes/MemoryNetwork.ts
@@ -7,6 +7,7 @@
 import { type PeerCallName, type PeerReply, type PeerRequest } from "../../src/common/peers/PeerCalls.ts";
 import { type PeerHandler, type PeerNetwork } from "../../src/common/peers/PeerNetwork.ts";
 import { type Clock } from "../../src/common/time/Clock.ts";
+import { encodeFrame } from "../../src/node/peers/FrameCodec.ts";
 
 /** Delay of one message in ms, or undefined when it is lost. */
 export type Link = (from: string, to: string) => number | undefined;
@@ -15,6 +16,8 @@
 export class MemoryHub {
     public bytes = 0;
     public messages = 0;
+    /** Whether messages are encoded as on the wire to count their bytes. */
+    public countsBytes = false;
     private readonly nodes = new Map<string, MemoryNetwork>();
     public readonly clock: Clock;
     public link: Link;
@@ -38,6 +41,12 @@
         network.isDown = true;
     }
 
+    public count(message: unknown): void {
+        if (this.countsBytes) {
+            this.bytes += encodeFrame({ id: 1, name: "", message }, undefined).length;
+        }
+    }
+
     public node(id: string): MemoryNetwork | undefined {
         return this.nodes.get(id);
     }
@@ -78,6 +87,7 @@
             this.send(this.self, peer, () => {
                 const target = this.hub.node(peer);
                 const copy = structuredClone(req);
+                this.hub.count(req);
                 target?.serve(name, copy, this.self).then(reply => deliver(reply as PeerReply<K>), refuse);
             });
         });
@@ -97,7 +107,9 @@
         if (handler === undefined) {
             throw unreachable(name, this.self);
         }
-        return structuredClone(await handler(req, from));
+        const reply = await handler(req, from);
+        this.hub.count(reply);
+        return structuredClone(reply);
     }
 
     private send(from: string, to: string, deliver: () => void): void {
--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -3,6 +3,7 @@
  */
 import { type Scenario } from "./Scenario.ts";
 import { config } from "./scenarios/Config.ts";
+import { controlCost } from "./scenarios/ControlCost.ts";
 import { domain } from "./scenarios/Domain.ts";
 import { fair } from "./scenarios/Fair.ts";
 import { once } from "./scenarios/Once.ts";
@@ -17,6 +18,7 @@
     path,
     once,
     config,
+    controlCost,
     domain,
     ramp,
     fair,
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -19,8 +19,10 @@
 const SUSPICION_MS = 1500;
 /** How long a dead or departed instance is remembered, in ms. */
 const DEAD_MEMORY_MS = 600_000;
-/** Records that travel with one probe beside the sender's own. */
+/** Most records that travel with one probe beside the sender's own. */
 const NEWS_PER_PROBE = 12;
+/** A record is told this often for each doubling of the number of instances, which reaches all of them. */
+const TELLS_PER_DOUBLING = 4;
 /** Every so many probes, one goes to an instance that is thought dead or was never met. */
 const RECONNECT_EVERY = 3;
 /** Without a word from anybody for this long, an instance holds itself to be isolated, in ms. */
@@ -172,8 +174,9 @@
     }
 
     private onPing(members: readonly Member[], from: string): { members: Member[]; } {
+        const wasKnown = this.known.get(from)?.member.state === "alive";
         this.hear(members);
-        return { members: this.news(from) };
+        return { members: wasKnown ? this.news(from) : this.all() };
     }
 
     private hear(members: readonly Member[]): void {
@@ -247,17 +250,20 @@
         }
     }
 
-    /** Own record, the one about `peer`, and the least told others. */
+    /** Own record, a suspicion of `peer`, and the least told news of others. */
     private news(peer: string): Member[] {
+        const enough = TELLS_PER_DOUBLING * Math.ceil(Math.log2(this.known.size + 2));
         const others = [...this.known.values()]
-            .filter(known => known.member.id !== peer)
+            .filter(known => known.member.id !== peer && known.timesTold < enough)
             .sort((a, b) => a.timesTold - b.timesTold)
             .slice(0, NEWS_PER_PROBE);
         for (const known of others) {
             known.timesTold++;
         }
+        // An instance that is suspected must hear of it to refute it.
         const about = this.known.get(peer)?.member;
-        return [this.own, ...(about === undefined ? [] : [about]), ...others.map(known => known.member)];
+        const suspicion = about === undefined || about.state === "alive" ? [] : [about];
+        return [this.own, ...suspicion, ...others.map(known => known.member)];
     }
 
     private forgetOld(): void {
--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -258,7 +258,13 @@
         }
         this.asking.add(owner);
         const sentAt = this.clock.monotonic();
-        const accounts = [...this.accounts.values()].filter(account => this.ownerOf(account.upstream) === owner);
+        const accounts = [...this.accounts.values()].filter(account =>
+            this.ownerOf(account.upstream) === owner && this.isRenewed(account)
+        );
+        if (accounts.length === 0) {
+            this.asking.delete(owner);
+            return;
+        }
         try {
             const grants = await this.borrow(owner, accounts.map(account => this.toRequest(account, sentAt)));
             for (const grant of grants) {
@@ -276,6 +282,12 @@
         }
     }
 
+    /** Upstreams of other failure domains that are neither used nor wanted cost no messages. */
+    private isRenewed(account: Account): boolean {
+        const isLocal = account.upstream.announcement.domain === this.domain;
+        return isLocal || wantOf(account) > 0 || account.granted > 0 || account.completed > 0;
+    }
+
     private toRequest(account: Account, now: number): SlotRequest {
         const { id, startId } = account.upstream.announcement;
         const meanMs = account.completed === 0 ? 0 : account.totalMs / account.completed;
