--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -2,6 +2,7 @@
  * The list of all scenarios.
  */
 import { type Scenario } from "./Scenario.ts";
+import { cascade } from "./scenarios/Cascade.ts";
 import { config } from "./scenarios/Config.ts";
 import { controlCost } from "./scenarios/ControlCost.ts";
 import { domain } from "./scenarios/Domain.ts";
@@ -19,6 +20,7 @@
     once,
     config,
     controlCost,
+    cascade,
     domain,
     ramp,
     fair,
--- /dev/null
+++ b/bench/scenarios/Cascade.ts
@@ -0,0 +1,213 @@
+/**
+ * `cascade`: requests of mixed difficulty, drifting quality, ratings that come late and sampled. The oracle
+ * knows every rating beforehand; the baselines see the same requests.
+ */
+import { SeededRandom } from "../../addons/fakes/SeededRandom.ts";
+import { CascadePolicy, type CascadeRequest, type CascadeVersion } from "../../src/common/policy/CascadePolicy.ts";
+import { QualityEstimates } from "../../src/common/policy/QualityEstimates.ts";
+import { type Outcome, round, type Scenario } from "../Scenario.ts";
+
+const REQUESTS = 12_000;
+const WARM_UP = 1500;
+const WINDOW = 500;
+/** Part of the answers that are rated although no decision waits for it. */
+const SAMPLED = 0.3;
+/** Requests that pass until a sampled rating arrives. */
+const LAG = 40;
+const FIXED_THRESHOLD = 0.7;
+
+const versions: readonly CascadeVersion[] = [
+    { key: "small@v3", cost: 0.1, quality: 0.72 },
+    { key: "middle@v7", cost: 0.4, quality: 0.86 },
+    { key: "large@v2", cost: 1, quality: 0.93 },
+];
+const accounts = [
+    { name: "farm", target: 0.8 },
+    { name: "congress", target: 0.85 },
+];
+/** How hard requests of each class are, from and to. */
+const classes: Readonly<Record<string, readonly [number, number]>> = { easy: [0, 0.4], mixed: [0, 1], hard: [0.5, 1] };
+/** Strength of each version: a request no harder than it is answered well. */
+const strengths = [0.45, 0.75, 1.05];
+
+interface Request {
+    readonly account: string;
+    readonly target: number;
+    readonly requestClass: string;
+    /** Rating that each version's answer would get. */
+    readonly ratings: readonly number[];
+}
+
+interface Tally {
+    cost: number;
+    readonly ratings: Map<string, number[]>;
+}
+
+const makeRequests = (random: SeededRandom): Request[] =>
+    [...Array(REQUESTS).keys()].map(index => {
+        const { name, target } = random.pick(accounts);
+        const requestClass = random.pick(Object.keys(classes));
+        const [from = 0, to = 1] = classes[requestClass] ?? [];
+        const difficulty = from + (to - from) * random.next();
+        // The small version grows worse for the middle third of the run, and better than before at its end.
+        const drift = index > REQUESTS / 3 && index < REQUESTS * 2 / 3 ? -0.2 : index >= REQUESTS * 5 / 6 ? 0.1 : 0;
+        const ratings = strengths.map((strength, version) => {
+            const miss = Math.max(0, difficulty - strength - (version === 0 ? drift : 0));
+            return Math.min(1, Math.max(0, 0.95 - miss * 1.6 + (random.next() - 0.5) * 0.1));
+        });
+        return { account: name, target, requestClass, ratings };
+    });
+
+const newTally = (): Tally => ({ cost: 0, ratings: new Map(accounts.map(({ name }) => [name, []])) });
+
+const count = (tally: Tally, req: Request, index: number, cost: number, rating: number): void => {
+    if (index >= WARM_UP) {
+        tally.cost += cost;
+        tally.ratings.get(req.account)?.push(rating);
+    }
+};
+
+const runPolicy = (requests: readonly Request[], seed: number): Tally => {
+    const random = new SeededRandom(seed + 1);
+    const policy = new CascadePolicy(new QualityEstimates(), random.next);
+    const tally = newTally();
+    const late: { readonly due: number; readonly tell: () => void; }[] = [];
+    for (const [index, req] of requests.entries()) {
+        while (late[0] !== undefined && late[0].due <= index) {
+            late.shift()?.tell();
+        }
+        const asked: CascadeRequest = { ...req, qualityTarget: req.target, versions, mayEscalate: true };
+        let version = policy.first(asked) as CascadeVersion;
+        let cost = 0;
+        for (;;) {
+            cost += version.cost;
+            const tried = version;
+            const rating = ratingOf(req, tried);
+            const isLast = tried === versions.at(-1);
+            // Only an answer that could be replaced is worth the wait for its rating.
+            const stronger = isLast ? undefined : policy.next(asked, tried, rating);
+            if (!isLast) {
+                policy.onRating(asked, tried.key, rating, stronger === undefined);
+            }
+            else if (random.chance(SAMPLED)) {
+                late.push({ due: index + LAG, tell: () => policy.onRating(asked, tried.key, rating, true) });
+            }
+            if (stronger === undefined) {
+                count(tally, req, index, cost, rating);
+                break;
+            }
+            version = stronger;
+        }
+    }
+    return tally;
+};
+
+/** Least cost that meets each account's target, with all ratings known: the best upgrades by gain for cost. */
+const runOracle = (requests: readonly Request[]): Tally => {
+    const tally = newTally();
+    for (const { name, target } of accounts) {
+        const own = requests.map((req, index) => ({ req, index })).filter(item =>
+            item.req.account === name && item.index >= WARM_UP
+        );
+        const price = findPrice(own.map(item => item.req), target);
+        own.forEach(({ req, index }) => {
+            const choice = bestAt(req, price);
+            count(tally, req, index, choice.cost, ratingOf(req, choice));
+        });
+    }
+    return tally;
+};
+
+const findPrice = (requests: readonly Request[], target: number): number => {
+    let low = 0;
+    let high = 100;
+    for (let step = 0; step < 40; step++) {
+        const price = (low + high) / 2;
+        const mean = requests.reduce((sum, req) => sum + ratingOf(req, bestAt(req, price)), 0) / requests.length;
+        if (mean >= target) {
+            high = price;
+        }
+        else {
+            low = price;
+        }
+    }
+    return high;
+};
+
+const bestAt = (req: Request, price: number): CascadeVersion =>
+    versions.reduce((best, version) =>
+        version.cost - price * ratingOf(req, version) < best.cost - price * ratingOf(req, best) ? version : best
+    );
+
+const ratingOf = (req: Request, version: CascadeVersion): number => req.ratings[versions.indexOf(version)] ?? 0;
+
+const runBaseline = (requests: readonly Request[], choose: (req: Request) => readonly CascadeVersion[]): Tally => {
+    const tally = newTally();
+    requests.forEach((req, index) => {
+        const tried = choose(req);
+        const cost = tried.reduce((sum, version) => sum + version.cost, 0);
+        count(tally, req, index, cost, ratingOf(req, tried.at(-1) as CascadeVersion));
+    });
+    return tally;
+};
+
+const strongest = versions.at(-1) as CascadeVersion;
+
+const cheapestFirst = (req: Request): readonly CascadeVersion[] => {
+    const tried: CascadeVersion[] = [];
+    for (const version of versions) {
+        tried.push(version);
+        if (ratingOf(req, version) >= FIXED_THRESHOLD) {
+            break;
+        }
+    }
+    return tried;
+};
+
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+
+const meetsTarget = (tally: Tally): number =>
+    accounts.every(({ name, target }) => mean(tally.ratings.get(name) ?? []) >= target) ? 1 : 0;
+
+/** Least mean of any window of one account's answers, less its target. */
+const worstWindow = (tally: Tally): number => {
+    let worst = Infinity;
+    for (const { name, target } of accounts) {
+        const ratings = tally.ratings.get(name) ?? [];
+        for (let from = 0; from + WINDOW <= ratings.length; from += WINDOW) {
+            worst = Math.min(worst, mean(ratings.slice(from, from + WINDOW)) - target);
+        }
+    }
+    return worst;
+};
+
+const run = async (seed: number): Promise<Outcome> => {
+    const random = new SeededRandom(seed);
+    const requests = makeRequests(random);
+    const policy = runPolicy(requests, seed);
+    const oracle = runOracle(requests);
+    const strong = runBaseline(requests, () => [strongest]);
+    const cheap = runBaseline(requests, cheapestFirst);
+    const share = runBaseline(requests, () => [random.pick(versions)]);
+    return {
+        violations: {},
+        figures: {
+            quality_met: meetsTarget(policy),
+            worst_window_over_target: round(worstWindow(policy)),
+            cost_over_oracle: round(policy.cost / oracle.cost),
+            cost_over_strongest: round(policy.cost / strong.cost),
+            baseline_cheapest_first_cost_over_oracle: round(cheap.cost / oracle.cost),
+            baseline_cheapest_first_quality_met: meetsTarget(cheap),
+            baseline_random_cost_over_oracle: round(share.cost / oracle.cost),
+            baseline_random_quality_met: meetsTarget(share),
+            baseline_strongest_cost_over_oracle: round(strong.cost / oracle.cost),
+        },
+    };
+};
+
+export const cascade: Scenario = {
+    name: "cascade",
+    summary: "requests of mixed difficulty, drifting quality, late and sampled ratings",
+    isExact: true,
+    run,
+};
