--- a/addons/fakes/World.ts
+++ b/addons/fakes/World.ts
@@ -133,7 +133,11 @@
             configurationStore: plan.isControl ? this.configurationStoreOf(id) : undefined,
             billStore: plan.isControl ? this.billStoreOf(id) : undefined,
         });
-        const attempts = new Attempts({ ...core, clock: this.clock }, { onDispatch: ignore, onFailure: ignore });
+        const attempts = new Attempts({ ...core, clock: this.clock }, {
+            onDispatch: ignore,
+            onOutcome: ignore,
+            onFailure: ignore,
+        });
         const node = { plan, core, network, attempts };
         this.nodes.set(id, node);
         void core.start().then(() => this.started.add(core));
--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -2,6 +2,7 @@
  * The list of all scenarios.
  */
 import { type Scenario } from "./Scenario.ts";
+import { canary } from "./scenarios/Canary.ts";
 import { cascade } from "./scenarios/Cascade.ts";
 import { config } from "./scenarios/Config.ts";
 import { controlCost } from "./scenarios/ControlCost.ts";
@@ -21,6 +22,7 @@
     config,
     controlCost,
     cascade,
+    canary,
     domain,
     ramp,
     fair,
--- /dev/null
+++ b/bench/scenarios/Canary.ts
@@ -0,0 +1,116 @@
+/**
+ * `canary`: roll-outs of good versions, and of versions that turn bad partway, watched by eight instances.
+ * Outcomes are drawn by the seed; whether a version is stopped is read from the configuration in force.
+ */
+import { SeededRandom } from "../../addons/fakes/SeededRandom.ts";
+import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
+import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { VersionJudge } from "../../src/common/policy/VersionJudge.ts";
+import { type Outcome, round, type Scenario } from "../Scenario.ts";
+
+const RATE_PER_S = 60;
+const SHARE = 10;
+const BASE_BAD = 0.02;
+const GOOD_ROLLOUTS = 1500;
+const LOOKS = 600;
+const BAD_ROLLOUTS = 3;
+/** Rates of bad answers after the version has turned bad. */
+const BAD_RATES = [0.15, 0.3, 0.8];
+/** Bad answers that an observer needs who knows when the version turns bad and how bad it gets. */
+const idealBad = (rate: number): number => {
+    const divergence = rate * Math.log(rate / BASE_BAD) + (1 - rate) * Math.log((1 - rate) / (1 - BASE_BAD));
+    return Math.max(1, Math.log(1000) / divergence * rate);
+};
+
+/** Roll-outs that nothing is wrong with, judged after every second; returns how many were stopped. */
+const falseAlarms = (random: SeededRandom): number => {
+    let alarms = 0;
+    for (let rollout = 0; rollout < GOOD_ROLLOUTS; rollout++) {
+        const judge = new VersionJudge();
+        const baseRate = random.pick([0, 0.01, BASE_BAD, 0.05]);
+        const draw = (count: number): { total: number; bad: number; } => ({
+            total: count,
+            bad: [...Array(count).keys()].filter(() => random.chance(baseRate)).length,
+        });
+        for (let look = 0; look < LOOKS; look++) {
+            if (judge.look(draw(random.below(4)), draw(random.below(20))).isBad) {
+                alarms++;
+                break;
+            }
+        }
+    }
+    return alarms;
+};
+
+interface Exposure {
+    readonly badAnswers: number;
+    readonly isStopped: boolean;
+    readonly isSettledHurt: boolean;
+}
+
+/** One roll-out on eight instances whose version turns bad after a while. */
+const badRollout = async (seed: number, badRate: number): Promise<Exposure> => {
+    const world = new World(seed, eightInstances);
+    const rows = [
+        domainRow("a"),
+        domainRow("b"),
+        domainRow("c"),
+        domainRow("d"),
+        accountRow("x"),
+        allowModel("x", "m"),
+    ];
+    await world.start([...rows, versionRow("m", "v1", 100), versionRow("m", "v2", 0)]);
+    await world.submitSheet(2, [...rows, versionRow("m", "v1", 100 - SHARE), versionRow("m", "v2", SHARE)]);
+    await world.advance(2000);
+    const turnsBadAt = world.now + 20_000 + world.random.next() * 20_000;
+    let badAnswers = 0;
+    let isStopped = false;
+    const end = turnsBadAt + 60_000;
+    world.arrivals(() => RATE_PER_S, end, () => {
+        const { core } = world.random.pick(world.ready);
+        const isActive = core.follower.table.activeVersion("m@v2") !== undefined;
+        const version = isActive && world.random.next() * 100 < SHARE ? "m@v2" : "m@v1";
+        const rate = version === "m@v2" && world.now > turnsBadAt ? badRate : BASE_BAD;
+        const isError = world.random.chance(rate);
+        badAnswers += isError && version === "m@v2" && world.now > turnsBadAt ? 1 : 0;
+        core.rollouts.onOutcome(version, { isError, durationMs: 100 });
+    });
+    while (world.now < end && !isStopped) {
+        await world.advance(500);
+        isStopped = world.ready.every(node => node.core.follower.table.activeVersion("m@v2") === undefined);
+    }
+    const isSettledHurt = world.ready.some(node => node.core.follower.table.activeVersion("m@v1") === undefined);
+    world.dispose();
+    return { badAnswers, isStopped, isSettledHurt };
+};
+
+const run = async (seed: number): Promise<Outcome> => {
+    const random = new SeededRandom(seed);
+    const alarms = falseAlarms(random);
+    const ratios: number[] = [];
+    let missed = 0;
+    let settledHurt = 0;
+    for (const rate of BAD_RATES) {
+        for (let index = 0; index < BAD_ROLLOUTS; index++) {
+            const exposure = await badRollout(seed * 100 + index, rate);
+            ratios.push(exposure.badAnswers / idealBad(rate));
+            missed += exposure.isStopped ? 0 : 1;
+            settledHurt += exposure.isSettledHurt ? 1 : 0;
+        }
+    }
+    return {
+        violations: { settled_version_hurt: settledHurt, missed },
+        figures: {
+            false_alarms_per_1000_rollouts: round(alarms / GOOD_ROLLOUTS * 1000, 2),
+            bad_answers_over_ideal: round(ratios.reduce((sum, ratio) => sum + ratio, 0) / ratios.length),
+            bad_answers_over_ideal_worst: round(Math.max(...ratios)),
+        },
+    };
+};
+
+export const canary: Scenario = {
+    name: "canary",
+    summary: "roll-outs of good versions, and of versions that turn bad partway",
+    isExact: true,
+    run,
+};
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -14,6 +14,7 @@
 import { type Member, startOf } from "../membership/Member.ts";
 import { Membership } from "../membership/Membership.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { RolloutWatch } from "../policy/RolloutWatch.ts";
 import { type QuarantineNotice, Suspects } from "../policy/Suspects.ts";
 import { Dispatcher } from "../routing/Dispatcher.ts";
 import { rendezvous } from "../routing/Hash.ts";
@@ -91,6 +92,7 @@
     public readonly bills: BillRecorder;
     public readonly suspects: Suspects;
     public readonly keyed: KeyedExecution;
+    public readonly rollouts: RolloutWatch;
     private readonly pinSpread: PinSpread;
     private readonly parts: CoreParts;
     private readonly startsSeen = new Map<string, number>();
@@ -124,6 +126,9 @@
         this.suspects = this.register(new Suspects(clock, network, this.membership, this.registry));
         this.register(this.suspects.onQuarantined(notice => this.onQuarantined(notice)));
         this.keyed = new KeyedExecution(clock, this.client, this.membership);
+        this.rollouts = this.register(
+            new RolloutWatch({ ...this, clock, network, isLeader: () => this.control?.status.role === "leader" }),
+        );
         this.handleCalls();
         this.recordEvents();
     }
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -47,6 +47,19 @@
         req: z.object({ offset: z.number().int().nonnegative() }),
         reply: z.object({ pins: z.array(pinSchema), isLast: z.boolean() }),
     },
+    /** Outcomes of versions in roll-out, counted since the start of the sender's process. */
+    reportOutcomes: {
+        req: z.object({
+            start: z.string(),
+            counts: z.array(z.object({
+                version: z.string(),
+                kind: z.enum(["error", "slow", "rating"]),
+                total: z.number().int().nonnegative(),
+                bad: z.number().int().nonnegative(),
+            })),
+        }),
+        reply: empty,
+    },
     /** Crashes that a request was part of; 0 clears it. */
     tellSuspect: { req: z.object({ fingerprint: z.string(), crashes: z.number().int().nonnegative() }), reply: empty },
     permitSuspect: {
--- /dev/null
+++ b/src/common/policy/RolloutWatch.ts
@@ -0,0 +1,207 @@
+/**
+ * Watches versions in roll-out over all instances: each counts the outcomes of its requests and tells the
+ * control instances; the leader judges, and withdraws a version that turned bad with the reason in figures.
+ */
+import { type ConfigurationFollower } from "../configuration/ConfigurationFollower.ts";
+import { type ActiveVersion } from "../configuration/RoutingTable.ts";
+import { type ControlClient } from "../control/ControlClient.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type Member, startOf } from "../membership/Member.ts";
+import { type Membership } from "../membership/Membership.ts";
+import { type PeerRequest } from "../peers/PeerCalls.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
+import { FULL_SHARE_PERCENT } from "../sheet/Sheet.ts";
+import { type Clock, repeat } from "../time/Clock.ts";
+import { type Timeline } from "../timeline/Timeline.ts";
+import { type OutcomeCount, type Verdict, VersionJudge } from "./VersionJudge.ts";
+
+/** How often outcomes are told and judged, in ms. */
+const WATCH_PERIOD_MS = 1000;
+const CALL_TIMEOUT_MS = 500;
+const WITHDRAW_TIMEOUT_MS = 10_000;
+/** A request that takes this many times the settled version's mean time counts as slow. */
+const SLOW_FACTOR = 4;
+
+/** Ways in which an outcome can be bad. */
+export const badKinds = ["error", "slow", "rating"] as const;
+export type BadKind = (typeof badKinds)[number];
+
+/** Outcome of one request on a version. */
+export interface VersionOutcome {
+    readonly isError: boolean;
+    readonly durationMs: number;
+}
+
+type Count = PeerRequest<"reportOutcomes">["counts"][number];
+
+/** What the watch works with. */
+export interface RolloutWatchParts {
+    readonly clock: Clock;
+    readonly network: PeerNetwork;
+    readonly membership: Membership;
+    readonly follower: ConfigurationFollower;
+    readonly client: ControlClient;
+    readonly timeline: Timeline;
+    readonly isLeader: () => boolean;
+}
+
+/** Watch over roll-outs. */
+export class RolloutWatch extends DisposableOwner {
+    private readonly parts: RolloutWatchParts;
+    /** Own counts since the start of the process, by version and kind. */
+    private readonly own = new Map<string, { version: string; kind: BadKind; total: number; bad: number; }>();
+    private readonly meanMs = new Map<string, number>();
+    /** Counts of each start of an instance as last told. */
+    private readonly told = new Map<string, Map<string, Count>>();
+    private readonly judged = new Map<string, OutcomeCount>();
+    private readonly judges = new Map<string, VersionJudge>();
+    private readonly withdrawing = new Set<string>();
+
+    public constructor(parts: RolloutWatchParts) {
+        super();
+        this.parts = parts;
+        this.register(parts.network.handle("reportOutcomes", req => this.onReported(req)));
+        this.register(repeat(parts.clock, WATCH_PERIOD_MS, () => this.watch()));
+    }
+
+    /** Counts the outcome of a request. */
+    public onOutcome(version: string, outcome: VersionOutcome): void {
+        this.count(version, "error", outcome.isError);
+        if (outcome.isError) {
+            return;
+        }
+        const settled = this.settledOf(version);
+        const usual = settled === undefined ? undefined : this.meanMs.get(settled);
+        if (usual !== undefined) {
+            this.count(version, "slow", outcome.durationMs > usual * SLOW_FACTOR);
+        }
+        const mean = this.meanMs.get(version);
+        this.meanMs.set(
+            version,
+            mean === undefined ? outcome.durationMs : mean + (outcome.durationMs - mean) * MEAN_WEIGHT,
+        );
+    }
+
+    /** Counts a rating from 0 to 1. */
+    public onRating(version: string, rating: number): void {
+        this.count(version, "rating", rating < LOW_RATING);
+    }
+
+    private count(version: string, kind: BadKind, isBad: boolean): void {
+        const key = `${version} ${kind}`;
+        const counted = this.own.get(key) ?? { version, kind, total: 0, bad: 0 };
+        counted.total++;
+        counted.bad += isBad ? 1 : 0;
+        this.own.set(key, counted);
+    }
+
+    private watch(): void {
+        const counts = this.rollingCounts();
+        if (counts.length > 0) {
+            this.report(counts);
+        }
+        if (this.parts.isLeader()) {
+            this.judgeAll();
+        }
+    }
+
+    /** Counts of models in which more than one version carries a share. */
+    private rollingCounts(): Count[] {
+        const models = new Set(this.rolling().map(version => version.model));
+        const { table } = this.parts.follower;
+        return [...this.own.values()].filter(count => models.has(table.activeVersion(count.version)?.model ?? ""));
+    }
+
+    private rolling(): readonly ActiveVersion[] {
+        const versions = this.parts.follower.table.allActiveVersions();
+        return versions.filter(version => version.share > 0 && version.share < FULL_SHARE_PERCENT);
+    }
+
+    private report(counts: Count[]): void {
+        const { membership, network } = this.parts;
+        const req = { start: startOf(membership.self), counts };
+        this.onReported(req);
+        for (const member of membership.alive().filter(isOtherControl(membership.self))) {
+            network.call(member.id, "reportOutcomes", req, CALL_TIMEOUT_MS).catch(() => undefined);
+        }
+    }
+
+    private onReported({ start, counts }: PeerRequest<"reportOutcomes">): Record<string, never> {
+        this.told.set(start, new Map(counts.map(count => [`${count.version} ${count.kind}`, count])));
+        return {};
+    }
+
+    private judgeAll(): void {
+        for (const version of this.rolling()) {
+            const settled = this.settledOf(version.key);
+            if (settled === undefined || settled === version.key || this.withdrawing.has(version.key)) {
+                continue;
+            }
+            for (const kind of badKinds) {
+                this.judge(version, settled, kind);
+            }
+        }
+    }
+
+    private judge(version: ActiveVersion, settled: string, kind: BadKind): void {
+        const key = `${version.key} ${kind}`;
+        let judge = this.judges.get(key);
+        if (judge === undefined) {
+            judge = new VersionJudge();
+            this.judges.set(key, judge);
+        }
+        const verdict = judge.look(this.takeNew(key, version.key, kind), this.takeNew(`${key} settled`, settled, kind));
+        if (verdict.isBad && !this.withdrawing.has(version.key)) {
+            this.withdraw(version, settled, kind, verdict);
+        }
+    }
+
+    /** Outcomes of all instances since the last look. */
+    private takeNew(key: string, version: string, kind: BadKind): OutcomeCount {
+        const sum = { total: 0, bad: 0 };
+        for (const counts of this.told.values()) {
+            const count = counts.get(`${version} ${kind}`);
+            sum.total += count?.total ?? 0;
+            sum.bad += count?.bad ?? 0;
+        }
+        const before = this.judged.get(key) ?? { total: 0, bad: 0 };
+        this.judged.set(key, sum);
+        return { total: Math.max(0, sum.total - before.total), bad: Math.max(0, sum.bad - before.bad) };
+    }
+
+    private withdraw(version: ActiveVersion, settled: string, kind: BadKind, verdict: Verdict): void {
+        const { clock, client, timeline } = this.parts;
+        const { badRate, settledRate, outcomes } = verdict;
+        const reason = `${kind}: ${percent(badRate)} of ${outcomes} answers were bad, against ${
+            percent(settledRate)
+        } on ${settled}`;
+        timeline.record("versionJudged", `${version.key} is withdrawn, ${reason}`, { version: version.key });
+        this.withdrawing.add(version.key);
+        const change = {
+            kind: "withdraw",
+            model: version.model,
+            version: version.version,
+            by: "policy",
+            reason,
+            at: clock.now(),
+        };
+        client.submit(change, WITHDRAW_TIMEOUT_MS).catch(() => this.withdrawing.delete(version.key));
+    }
+
+    private settledOf(version: string): string | undefined {
+        const { table, configuration } = this.parts.follower;
+        const model = table.activeVersion(version)?.model;
+        const settled = model === undefined ? undefined : configuration.settled[model];
+        return settled === undefined ? undefined : `${model}@${settled}`;
+    }
+}
+
+/** Ratings below this count as bad. */
+const LOW_RATING = 0.5;
+/** Weight of the newest request in the mean time. */
+const MEAN_WEIGHT = 0.05;
+
+const percent = (rate: number): string => `${(rate * 100).toFixed(1)} %`;
+
+const isOtherControl = (self: Member) => (member: Member): boolean =>
+    member.id !== self.id && member.roles.includes("control");
--- a/src/common/routing/Attempts.ts
+++ b/src/common/routing/Attempts.ts
@@ -4,6 +4,7 @@
  */
 import { isRouterError, type RouterError, routerError, toRouterError } from "../errors/RouterError.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type VersionOutcome } from "../policy/RolloutWatch.ts";
 import { type Admission, type Suspects } from "../policy/Suspects.ts";
 import { type SlotBook } from "../slots/SlotBook.ts";
 import { type Clock } from "../time/Clock.ts";
@@ -70,6 +71,8 @@
 export interface AttemptEvents {
     /** The attempt is about to be sent. */
     readonly onDispatch: (ctx: AttemptRequest, attempt: Attempt) => void;
+    /** An attempt on a target ended, in a way that says something of the target. */
+    readonly onOutcome: (target: Target, outcome: VersionOutcome) => void;
     /** The attempt failed, and whether another follows. */
     readonly onFailure: (ctx: AttemptRequest, attempt: Attempt, err: RouterError, isRetried: boolean) => void;
 }
@@ -126,7 +129,7 @@
             const controller = this.open(ctx, work, assignment);
             const attempt: Attempt = { id: `${ctx.id}-${number}`, assignment, signal: controller.signal };
             try {
-                const result = await this.attempt(ctx, attempt, send);
+                const result = await this.attempt(ctx, work, attempt, send);
                 admission.end(true);
                 return result;
             }
@@ -246,6 +249,7 @@
 
     private async attempt<T>(
         ctx: AttemptRequest,
+        work: Work,
         attempt: Attempt,
         send: (attempt: Attempt) => Promise<T>,
     ): Promise<T> {
@@ -255,11 +259,15 @@
             this.events.onDispatch(ctx, attempt);
             const result = await send(attempt);
             this.trustAfterAnswer(attempt);
+            this.events.onOutcome(work.target, { isError: false, durationMs: this.clock.monotonic() - startedAt });
             return result;
         }
         catch (err) {
             this.doubtAfter(err, attempt.assignment.upstream);
             isUpstreamFault = !ctx.signal.aborted;
+            if (isUpstreamFault && mayBlameVersion(err)) {
+                this.events.onOutcome(work.target, { isError: true, durationMs: this.clock.monotonic() - startedAt });
+            }
             throw err;
         }
         finally {
@@ -283,6 +291,9 @@
     }
 }
 
+/** A connection that did not open, or broke, says nothing of the version on the other side. */
+const mayBlameVersion = (err: unknown): boolean => isRouterError(err) && err.run !== "not_run" && !err.isBroken;
+
 /** Step at which a connection to an upstream could not be opened. */
 export const CONNECT_STEP = "connect to upstream";
 
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -57,6 +57,7 @@
         const attempts = this.register(
             new Attempts({ ...core, clock }, {
                 onDispatch: (ctx, attempt) => this.onDispatch(ctx, attempt),
+                onOutcome: (target, outcome) => core.rollouts.onOutcome(target, outcome),
                 onFailure: (ctx, attempt, err, isRetried) => this.onFailure(ctx, attempt, err, isRetried),
             }),
         );
