A breaker's pause ends with a new try, not with the caller's deadline

Cause: new tests of the caller door hung for 60 s: after three faults of the only upstream its breaker paused and nothing looked at the queue when the pause was over; a timer that fires a fraction of a millisecond early would have left it closed as well.

--- a/src/common/routing/Breakers.ts
+++ b/src/common/routing/Breakers.ts
@@ -15,7 +15,8 @@
 interface Breaker {
     faults: number;
     pauseMs: number;
-    openUntil: number;
+    /** True during the pause, in which no work is sent. */
+    isPaused: boolean;
     isProbing: boolean;
 }
 
@@ -23,9 +24,12 @@
 export class Breakers {
     private readonly clock: Clock;
     private readonly breakers = new WeakMap<Upstream, Breaker>();
+    /** Called when the pause of an upstream is over and it may be probed. */
+    private readonly onPauseOver: (upstream: Upstream) => void;
 
-    public constructor(clock: Clock) {
+    public constructor(clock: Clock, onPauseOver: (upstream: Upstream) => void) {
         this.clock = clock;
+        this.onPauseOver = onPauseOver;
     }
 
     /** True when a request may be sent: the breaker is closed, or its pause is over and nothing probes yet. */
@@ -34,7 +38,7 @@
         if (breaker === undefined || breaker.faults < FAULTS_TO_OPEN) {
             return true;
         }
-        return !breaker.isProbing && this.clock.monotonic() >= breaker.openUntil;
+        return !breaker.isProbing && !breaker.isPaused;
     }
 
     public onStart(upstream: Upstream): void {
@@ -54,7 +58,11 @@
         breaker.faults++;
         breaker.isProbing = false;
         if (breaker.faults >= FAULTS_TO_OPEN) {
-            breaker.openUntil = this.clock.monotonic() + breaker.pauseMs;
+            breaker.isPaused = true;
+            this.clock.schedule(breaker.pauseMs, () => {
+                breaker.isPaused = false;
+                this.onPauseOver(upstream);
+            });
             breaker.pauseMs = Math.min(MAX_PAUSE_MS, breaker.pauseMs * 2);
         }
     }
@@ -64,4 +72,4 @@
     }
 }
 
-const newBreaker = (): Breaker => ({ faults: 0, pauseMs: FIRST_PAUSE_MS, openUntil: 0, isProbing: false });
+const newBreaker = (): Breaker => ({ faults: 0, pauseMs: FIRST_PAUSE_MS, isPaused: false, isProbing: false });
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -75,7 +75,7 @@
     public constructor(parts: DispatcherParts) {
         super();
         this.parts = parts;
-        this.breakers = new Breakers(parts.clock);
+        this.breakers = new Breakers(parts.clock, upstream => this.pumpAll(upstream));
         this.register(parts.slots.onAvailable(upstream => this.pumpAll(upstream)));
         this.register(parts.registry.onChanged(upstream => this.pumpAll(upstream)));
         this.register(parts.registry.onLost(loss => this.onUpstreamLost(loss.upstream)));
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -5,16 +5,20 @@
 import { type RouterError } from "../common/errors/RouterError.ts";
 import { type InstanceCore } from "../common/instance/InstanceCore.ts";
 import { DisposableOwner } from "../common/lifecycle/Disposable.ts";
+import { CascadePolicy } from "../common/policy/CascadePolicy.ts";
+import { QualityEstimates } from "../common/policy/QualityEstimates.ts";
 import { type Attempt, type AttemptRequest, Attempts } from "../common/routing/Attempts.ts";
 import { VersionPolicy } from "../common/routing/VersionPolicy.ts";
 import { type Clock } from "../common/time/Clock.ts";
 import { UpstreamClient } from "./dispatch/UpstreamClient.ts";
 import { CallerDoor } from "./entry/CallerDoor.ts";
+import { CascadeRunner } from "./entry/CascadeRunner.ts";
 import { ChatHandler } from "./entry/ChatHandler.ts";
 import { type RequestContext } from "./entry/RequestContext.ts";
 import { ServiceHandler } from "./entry/ServiceHandler.ts";
 import { type DoorLimits, HttpDoor } from "./http/HttpDoor.ts";
 import { type Metrics } from "./metrics/Metrics.ts";
+import { RatingClient } from "./ratings/RatingClient.ts";
 import { type Address, type Settings } from "./settings/SettingsSchema.ts";
 import { UpstreamDoor } from "./upstreams/UpstreamDoor.ts";
 
@@ -73,6 +77,7 @@
             attempts,
             client,
             chooseVersion: (ctx, request) => policy.choose({ ...versionRequest(ctx), model: request.request.model }),
+            cascade: this.createCascade(settings),
             recordBill,
             maxBodyBytes,
             promptTokenMs: MS_PER_SECOND / settings.routing.prompt_tokens_per_s,
@@ -93,6 +98,22 @@
         });
     }
 
+    private createCascade(settings: Settings): CascadeRunner | undefined {
+        const { address } = settings.ratings;
+        if (address === undefined) {
+            return undefined;
+        }
+        const { dispatcher, follower, rollouts } = this.core;
+        return new CascadeRunner({
+            policy: new CascadePolicy(new QualityEstimates(), Math.random),
+            ratings: this.register(new RatingClient(address)),
+            rollouts,
+            hasUpstreams: target => dispatcher.hasUpstreams(target),
+            isInContact: () => follower.isInContact,
+            random: Math.random,
+        });
+    }
+
     private onDispatch(ctx: AttemptRequest, attempt: Attempt): void {
         const upstream = attempt.assignment.upstream.announcement.id;
         this.core.timeline.record("requestDispatched", `sent to ${upstream} as ${attempt.id}`, {
--- /dev/null
+++ b/src/node/entry/CallerDoor.test.ts
@@ -0,0 +1,225 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { request } from "undici";
+import { type Answer, Deployment } from "../../../addons/fakes/Deployment.ts";
+import { FakeEngine } from "../../../addons/fakes/FakeEngine.ts";
+import { FakeRater } from "../../../addons/fakes/FakeRater.ts";
+import { FakeService } from "../../../addons/fakes/FakeService.ts";
+import {
+    accountRow,
+    allowModel,
+    allowService,
+    callRow,
+    domainRow,
+    sheetText,
+    versionRow,
+} from "../../../addons/fakes/SheetText.ts";
+import { type Problem } from "../../common/errors/Problem.ts";
+
+const KEY = "key-x";
+const deployment = new Deployment("door");
+const rater = new FakeRater({ "small@v1": 0.3, "m@v1": 0.9 });
+let engine: FakeEngine;
+let service: FakeService;
+
+const chatBody = (extra: object = {}): object => ({
+    model: "m",
+    messages: [{ role: "user", content: "hello there" }],
+    ...extra,
+});
+
+const problemOf = (answer: Answer): string => {
+    const { code, run } = JSON.parse(answer.body) as Problem;
+    return `${answer.status} ${code} ${run}`;
+};
+
+/** Sends bytes as they are to the chat resource. */
+const sendRaw = async (body: string, headers: Record<string, string> = {}): Promise<Answer> => {
+    const url = `${deployment.urls("a-1").callers}/v1/chat/completions`;
+    const answer = await request(url, {
+        method: "POST",
+        headers: { authorization: `Bearer ${KEY}`, ...headers },
+        body,
+    });
+    return { status: answer.statusCode, headers: answer.headers, body: await answer.body.text() };
+};
+
+before(async () => {
+    await rater.start();
+    const settings = `[limits]\nmax_body_bytes = 20000\nmax_header_bytes = 8192\n[ratings]\naddress = ${rater.address}`;
+    await deployment.start([{ id: "a-1", domain: "a", isControl: true }], settings);
+    await deployment.submitSheet(
+        "a-1",
+        sheetText(1, [
+            domainRow("a"),
+            accountRow("x"),
+            accountRow("y"),
+            versionRow("m", "v1", 100, 1, 0.9),
+            versionRow("small", "v1", 100, 0.1, 0.7),
+            { record: "service", name: "book", cost: 0.5 },
+            callRow("book", "POST", "/slots", "yes"),
+            allowModel("x", "m"),
+            allowModel("x", "small"),
+            allowService("x", "book"),
+        ]),
+    );
+    await deployment.waitForSheet(1);
+    const announceTo = deployment.announceUrls();
+    const versions = [{ model: "m", version: "v1" }, { model: "small", version: "v1" }];
+    engine = new FakeEngine({
+        id: "e1",
+        domain: "a",
+        announceTo,
+        capacity: 32,
+        versions,
+        tokenMs: 4,
+        resumesStreams: true,
+    });
+    service = new FakeService({ id: "s1", domain: "a", announceTo, capacity: 32, service: "book" });
+    await engine.start("one");
+    await service.start("one");
+    await deployment.waitForUpstreams(2);
+    await deployment.waitFor(
+        "a first answer",
+        async () => (await deployment.chat("a-1", KEY, chatBody())).status === 200,
+    );
+});
+
+after(async () => {
+    engine.stop();
+    service.stop();
+    rater.stop();
+    await deployment.stop();
+});
+
+test("each mistake of a caller has a clear answer that says \"not run\"", async () => {
+    const { chat, call } = deployment;
+    const ask = chat.bind(deployment, "a-1");
+    const cases: readonly [string, Promise<Answer>][] = [
+        ["401 unknownKey not_run", ask("no-such-key", chatBody())],
+        ["404 unknownModel not_run", ask(KEY, chatBody({ model: "nothing" }))],
+        ["404 unknownModel not_run", ask(KEY, chatBody({ model: "m@v9" }))],
+        ["403 versionNotAllowed not_run", ask("key-y", chatBody())],
+        ["400 malformedRequest not_run", ask(KEY, { model: "m" })],
+        ["400 malformedJson not_run", sendRaw("{ not json")],
+        ["413 bodyTooLarge not_run", sendRaw(JSON.stringify(chatBody({ pad: "x".repeat(30_000) })))],
+        ["400 invalidDeadline not_run", ask(KEY, chatBody(), { "x-request-deadline-ms": "soon" })],
+        ["400 malformedRequest not_run", ask(KEY, chatBody(), { "x-priority": "99" })],
+        ["400 malformedRequest not_run", ask(KEY, chatBody(), { "x-session-id": "s".repeat(300) })],
+        ["404 unknownService not_run", call.call(deployment, "a-1", KEY, "GET", "nothing/x")],
+        ["403 notAllowed not_run", call.call(deployment, "a-1", "key-y", "GET", "book/x")],
+        ["400 malformedRequest not_run", call.call(deployment, "a-1", KEY, "POST", "book/slots%2fpay")],
+    ];
+    for (const [expected, answer] of cases) {
+        assert.equal(problemOf(await answer), expected);
+    }
+});
+
+test("a flood of headers is refused before anything else", async () => {
+    const answer = await sendRaw("{}", { "x-flood": "y".repeat(10_000) });
+    assert.equal(answer.status, 431);
+});
+
+test("callers that ask at the same time each get their own whole answer", async () => {
+    const answers = await Promise.all([...Array(40).keys()].map(async index => {
+        const answer = await deployment.chat(
+            "a-1",
+            KEY,
+            chatBody({ messages: [{ role: "user", content: `mine-${index}-end` }] }),
+        );
+        return answer.body.includes(`mine-${index}-end`);
+    }));
+    assert.ok(answers.every(isOwn => isOwn));
+});
+
+test("an answer that belongs to another request is discarded and never passed on", async () => {
+    engine.crossesAnswers = true;
+    const answer = await deployment.chat("a-1", KEY, chatBody(), { "x-request-deadline-ms": "3000" });
+    engine.crossesAnswers = false;
+    assert.equal(answer.status, 502);
+    assert.match(problemOf(answer), /answerMismatch unknown/);
+});
+
+test("a broken stream is resumed after its last event, without a gap or a repeat", async () => {
+    engine.breakAfterTokens = 3;
+    engine.breaks = 1;
+    const answer = await deployment.chat("a-1", KEY, chatBody({ stream: true }));
+    const tokens = [...answer.body.matchAll(/"content":"(\d+):/g)].map(match => Number(match[1]));
+    assert.deepEqual(tokens, [1, 2, 3, 4, 5, 6, 7, 8]);
+    assert.ok(answer.body.endsWith("data: [DONE]\n\n"));
+    assert.ok(!answer.body.includes("usage"), "the caller did not ask for usage");
+});
+
+test("a stream that cannot be continued ends as an error, not as a short success", async () => {
+    engine.breakAfterTokens = 2;
+    engine.breaks = 10;
+    const outcome = await deployment.chat("a-1", KEY, chatBody({ stream: true })).then(
+        answer => answer.body,
+        () => "broken off",
+    );
+    engine.breaks = 0;
+    assert.ok(!outcome.includes("[DONE]"), outcome);
+});
+
+test("a call that may not be repeated is sent once, and its lost answer is called unknown", async () => {
+    const runsBefore = service.ledger.length;
+    service.losesAnswers = true;
+    const answer = await deployment.call("a-1", KEY, "POST", "book/pay", {}, { amount: 5 });
+    service.losesAnswers = false;
+    assert.equal(problemOf(answer), "502 upstreamFailed unknown");
+    assert.equal(service.ledger.length - runsBefore, 1);
+});
+
+test("a service that proves that it did not start a call leads to a true \"not run\"", async () => {
+    await deployment.waitFor(
+        "the service",
+        async () => (await deployment.call("a-1", KEY, "GET", "book/x")).status === 200,
+    );
+    const runsBefore = service.ledger.length;
+    service.refuses = true;
+    const answer = await deployment.call("a-1", KEY, "POST", "book/pay", {}, { amount: 6 });
+    service.refuses = false;
+    assert.equal(problemOf(answer), "502 upstreamFailed not_run");
+    assert.equal(service.ledger.length, runsBefore);
+});
+
+test("a keyed call runs once; a repeat gets the recorded answer, another body a conflict", async () => {
+    await deployment.waitFor(
+        "the service",
+        async () => (await deployment.call("a-1", KEY, "GET", "book/x")).status === 200,
+    );
+    const runsBefore = service.ledger.length;
+    const headers = { "idempotency-key": "k-1" };
+    const first = await deployment.call("a-1", KEY, "POST", "book/pay", headers, { amount: 7 });
+    const again = await deployment.call("a-1", KEY, "POST", "book/pay", headers, { amount: 7 });
+    const other = await deployment.call("a-1", KEY, "POST", "book/pay", headers, { amount: 8 });
+    assert.equal(first.status, 200);
+    assert.equal(again.body, first.body);
+    assert.equal(again.headers["x-idempotent-repeat"], "true");
+    assert.equal(problemOf(other), "409 keyReused not_run");
+    assert.equal(service.ledger.length - runsBefore, 1);
+});
+
+test("the cascade asks a stronger version when the rating does not do, and bills both attempts once", async () => {
+    const ask = (): Promise<Answer> => deployment.chat("a-1", KEY, chatBody({ model: "auto" }));
+    const answers: Answer[] = [];
+    for (let index = 0; index < 12; index++) {
+        answers.push(await ask());
+    }
+    assert.ok(rater.rated > 0, "answers were rated");
+    assert.ok(answers.every(answer => answer.status === 200));
+    assert.equal(answers.at(-1)?.headers["x-model"], "m");
+    const { bills } = JSON.parse((await deployment.admin("a-1", "GET", "/admin/v1/billing")).body) as {
+        bills: { id: string; items: { target: string; }[]; }[];
+    };
+    const billed = answers.map(answer => bills.filter(bill => bill.id === answer.headers["x-request-id"]));
+    assert.ok(billed.every(items => items.length === 1));
+    assert.ok(billed.some(([bill]) => bill?.items.length === 2), "an escalated answer itemises both attempts");
+});
+
+test("every upstream crash in a row of requests is answered by another attempt or a true refusal", async () => {
+    engine.failStatus = 503;
+    const refused = await deployment.chat("a-1", KEY, chatBody());
+    engine.failStatus = 0;
+    assert.equal(problemOf(refused), "502 upstreamFailed unknown");
+});
--- a/src/node/entry/ChatHandler.ts
+++ b/src/node/entry/ChatHandler.ts
@@ -13,6 +13,7 @@
 import { type UpstreamAnswer, type UpstreamClient } from "../dispatch/UpstreamClient.ts";
 import { RUN_HEADER } from "../dispatch/UpstreamClient.ts";
 import { parseJson, readBody } from "../http/HttpBody.ts";
+import { type CascadeRunner } from "./CascadeRunner.ts";
 import { parseChat, type ParsedChat, toEngineBody } from "./ChatRequest.ts";
 import { billId, fingerprintOf, refuseQuarantined, type RequestContext } from "./RequestContext.ts";
 import { readUsage, SseRelay, type Usage } from "./SseRelay.ts";
@@ -45,6 +46,8 @@
     readonly attempts: Attempts;
     readonly client: UpstreamClient;
     readonly chooseVersion: ChooseVersion;
+    /** Set where a rating service is known. */
+    readonly cascade: CascadeRunner | undefined;
     readonly recordBill: RecordBill;
     readonly maxBodyBytes: number;
     /** Time to read one token of an uncached prompt, in ms. */
@@ -58,9 +61,18 @@
     readonly chat: ParsedChat;
     readonly chosen: ChosenVersion;
     readonly body: Buffer;
+    readonly fingerprint: string;
     readonly items: BillItem[];
 }
 
+/** An answer that was read to its end. */
+interface WholeAnswer {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: Buffer;
+    readonly usage: Usage | undefined;
+}
+
 /** Handler of chat requests. */
 export class ChatHandler {
     private readonly parts: ChatParts;
@@ -72,11 +84,40 @@
     /** Answers the request. Rejects with a `RouterError` while no answer has begun. */
     public async handle(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
         const chat = parseChat(parseJson(await readBody(req, this.parts.maxBodyBytes)));
-        const chosen = await this.parts.chooseVersion(ctx, chat);
+        const plan = this.parts.cascade?.plan(ctx, chat);
+        const chosen = plan === undefined ? await this.parts.chooseVersion(ctx, chat) : { version: plan.current };
+        const exchange = this.createExchange(ctx, res, chat, chosen);
+        if (chat.isStream) {
+            await this.run(exchange, attempt => this.sendStream(exchange, attempt));
+            return;
+        }
+        let answer = await this.run(exchange, attempt => this.sendWhole(exchange, attempt));
+        let last = exchange;
+        while (
+            plan !== undefined && answer.status < CLIENT_ERROR
+            && await this.parts.cascade?.escalates(plan, ctx, chat, answer)
+        ) {
+            last = { ...this.createExchange(ctx, res, chat, { version: plan.current }), items: last.items };
+            const current = last;
+            answer = await this.run(current, attempt => this.sendWhole(current, attempt));
+        }
+        await this.finishWhole(last, answer);
+    }
+
+    private createExchange(
+        ctx: RequestContext,
+        res: ServerResponse,
+        chat: ParsedChat,
+        chosen: ChosenVersion,
+    ): Exchange {
         const body = toEngineBody(chat, chosen.version.key);
         const fingerprint = fingerprintOf(ctx, body);
         refuseQuarantined(ctx, fingerprint, this.parts.clock.now());
-        const exchange: Exchange = { ctx, res, chat, chosen, body, items: [] };
+        return { ctx, res, chat, chosen, body, fingerprint, items: [] };
+    }
+
+    private run<T>(exchange: Exchange, send: (attempt: Attempt) => Promise<T>): Promise<T> {
+        const { ctx, chat, chosen, fingerprint, res } = exchange;
         const work = {
             target: chosen.version.key,
             cost: chat.promptTokens + chat.answerTokens,
@@ -85,18 +126,23 @@
             isIdempotent: true,
             fingerprint,
         };
-        const send = (attempt: Attempt): Promise<void> => this.send(exchange, attempt);
-        await this.parts.attempts.run(ctx, work, send, () => res.headersSent);
+        return this.parts.attempts.run(ctx, work, send, () => res.headersSent);
     }
 
-    private async send(exchange: Exchange, attempt: Attempt): Promise<void> {
+    private async sendStream(exchange: Exchange, attempt: Attempt): Promise<void> {
         const answer = await this.request(exchange, attempt);
         refuseFailure(answer, attempt);
-        if (exchange.chat.isStream && answer.status < CLIENT_ERROR) {
+        if (answer.status < CLIENT_ERROR) {
             await this.relayStream(exchange, attempt, answer);
             return;
         }
-        await this.relayWhole(exchange, attempt, answer);
+        await this.finishWhole(exchange, await this.readAnswer(exchange, attempt, answer));
+    }
+
+    private async sendWhole(exchange: Exchange, attempt: Attempt): Promise<WholeAnswer> {
+        const answer = await this.request(exchange, attempt);
+        refuseFailure(answer, attempt);
+        return this.readAnswer(exchange, attempt, answer);
     }
 
     private request(exchange: Exchange, attempt: Attempt): Promise<UpstreamAnswer> {
@@ -114,20 +160,27 @@
     }
 
     /** A plain answer is read whole before any of it is passed on, so a broken one can be retried. */
-    private async relayWhole(exchange: Exchange, attempt: Attempt, answer: UpstreamAnswer): Promise<void> {
+    private async readAnswer(exchange: Exchange, attempt: Attempt, answer: UpstreamAnswer): Promise<WholeAnswer> {
         const body = await readWhole(answer.body);
+        const { status } = answer;
+        const usage = status < CLIENT_ERROR ? readUsage(parseAnswer(body, attempt)) : undefined;
+        if (status < CLIENT_ERROR) {
+            this.addItem(exchange, attempt, usage ?? estimateUsage(exchange.chat, exchange.chat.answerTokens));
+        }
+        return { status, contentType: String(answer.headers["content-type"] ?? "application/json"), body, usage };
+    }
+
+    private async finishWhole(exchange: Exchange, answer: WholeAnswer): Promise<void> {
         const { res, chosen, ctx } = exchange;
         if (answer.status < CLIENT_ERROR) {
-            const usage = readUsage(parseAnswer(body, attempt));
-            this.addItem(exchange, attempt, usage ?? estimateUsage(exchange.chat, exchange.chat.answerTokens));
-            await this.parts.recordBill(this.toBill(exchange, usage, true));
+            await this.parts.recordBill(this.toBill(exchange, answer.usage, true));
         }
         res.writeHead(answer.status, {
             ...answerHeaders(ctx, chosen),
-            "content-type": String(answer.headers["content-type"] ?? "application/json"),
-            "content-length": body.length,
+            "content-type": answer.contentType,
+            "content-length": answer.body.length,
         });
-        res.end(body);
+        res.end(answer.body);
     }
 
     private async relayStream(exchange: Exchange, attempt: Attempt, answer: UpstreamAnswer): Promise<void> {
--- /dev/null
+++ b/src/node/ratings/RatingClient.ts
@@ -0,0 +1,50 @@
+/**
+ * Asks the rating service how good an answer is. A service that is slow or away only means that no rating is
+ * known.
+ */
+import { Pool } from "undici";
+import { z } from "zod";
+import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
+
+const ratingSchema = z.object({ rating: z.number().min(0).max(1) });
+const CONNECTIONS = 32;
+
+/** An answer to be rated. */
+export interface RatedAnswer {
+    readonly request: string;
+    readonly version: string;
+    /** Body of the caller's request and of the answer, as JSON. */
+    readonly prompt: unknown;
+    readonly answer: unknown;
+}
+
+/** Client of the rating service. */
+export class RatingClient extends DisposableOwner {
+    private readonly pool: Pool;
+
+    public constructor({ host, port }: Address) {
+        super();
+        this.pool = new Pool(`http://${host.includes(":") ? `[${host}]` : host}:${port}`, { connections: CONNECTIONS });
+        this.register({ dispose: () => void this.pool.destroy() });
+    }
+
+    /** The rating from 0 to 1; undefined when none came within `timeoutMs`. */
+    public async rate(answer: RatedAnswer, timeoutMs: number): Promise<number | undefined> {
+        try {
+            const reply = await this.pool.request({
+                path: "/rate",
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(answer),
+                headersTimeout: timeoutMs,
+                bodyTimeout: timeoutMs,
+                signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+            });
+            return ratingSchema.parse(await reply.body.json()).rating;
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- a/src/node/settings/SettingsSchema.ts
+++ b/src/node/settings/SettingsSchema.ts
@@ -70,6 +70,10 @@
                 "SHA-256 of the key that upstreams must present; without it any caller of the door may announce.",
             ),
     }).prefault({}),
+    ratings: z.strictObject({
+        address: address.optional()
+            .describe("Address of the service that rates answers; without it auto takes the sheet's figures only."),
+    }).prefault({}),
     admin: z.strictObject({
         key_sha256: z.string().regex(/^[0-9a-f]{64}$/).optional()
             .describe("SHA-256 of an operator key with the role operate, for the time before the first sheet."),
