Limits of an account hold over all instances

Cause: max_in_flight and tokens_per_minute stood in the sheet and nothing enforced them. Change: requests and tokens of accounts are shared between instances and checked at the door; a refusal says when to come back. Test with both limits.

--- a/src/common/routing/UsageShare.ts
+++ b/src/common/routing/UsageShare.ts
@@ -2,12 +2,14 @@
  * Makes fairness span instances: each tells the others what accounts have used on it, and they charge it to
  * the accounts' virtual time as if it had been used there.
  */
+import { routerError } from "../errors/RouterError.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type Membership } from "../membership/Membership.ts";
 import { type PeerRequest } from "../peers/PeerCalls.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
 import { type Target } from "../upstreams/Upstream.ts";
+import { TokenWindow } from "./TokenWindow.ts";
 
 /** How often usage is told, in ms. */
 const SHARE_PERIOD_MS = 500;
@@ -18,6 +20,19 @@
 /** Charges usage of other instances to an account here. */
 export type ChargeUsage = (target: Target, account: string, weight: number, cost: number) => void;
 
+/** Limits of a client account, as in the sheet. */
+export interface AccountLimits {
+    readonly name: string;
+    readonly max_in_flight?: number | undefined;
+    readonly tokens_per_minute?: number | undefined;
+}
+
+/** When a place among the requests in flight may be free again, in ms. */
+const IN_FLIGHT_RETRY_MS = 500;
+
+const limitError = (message: string, retryAfterMs: number): Error =>
+    routerError(message, { code: "tooManyRequests", step: "admit request", retryAfterMs });
+
 interface RemoteCount {
     readonly count: number;
     /** Monotonic time from which on the count is not used any more, in ms. */
@@ -30,6 +45,7 @@
     private readonly network: PeerNetwork;
     private readonly membership: Membership;
     private readonly charge: ChargeUsage;
+    private readonly tokens: TokenWindow;
     private readonly used = new Map<string, Usage>();
     private readonly inFlight = new Map<string, number>();
     /** Account to peer to its count. */
@@ -41,6 +57,7 @@
         this.network = network;
         this.membership = membership;
         this.charge = charge;
+        this.tokens = new TokenWindow(clock);
         this.register(network.handle("shareUsage", (req, from) => this.onShared(req, from)));
         this.register(repeat(clock, SHARE_PERIOD_MS, () => this.tell()));
     }
@@ -50,6 +67,23 @@
         const key = `${target} ${account}`;
         const known = this.used.get(key);
         this.used.set(key, { target, account, weight, cost: (known?.cost ?? 0) + cost });
+        this.tokens.add(account, cost);
+    }
+
+    /** Throws `tooManyRequests` when the account is at a limit of the sheet, over all instances. */
+    public requireWithinLimits(account: AccountLimits): void {
+        const inFlight = this.inFlightOf(account.name);
+        if (account.max_in_flight !== undefined && inFlight >= account.max_in_flight) {
+            const message =
+                `account "${account.name}" has ${inFlight} requests in flight, of at most ${account.max_in_flight}`;
+            throw limitError(message, IN_FLIGHT_RETRY_MS);
+        }
+        const tokens = this.tokens.sum(account.name);
+        if (account.tokens_per_minute !== undefined && tokens >= account.tokens_per_minute) {
+            const message =
+                `account "${account.name}" used ${tokens} tokens in a minute, of at most ${account.tokens_per_minute}`;
+            throw limitError(message, this.tokens.stepMs);
+        }
     }
 
     /** Requests of the account in flight on all instances, as far as known. */
@@ -73,6 +107,7 @@
     private onShared(req: PeerRequest<"shareUsage">, from: string): Record<string, never> {
         for (const usage of req.usages) {
             this.charge(usage.target, usage.account, usage.weight, usage.cost);
+            this.tokens.add(usage.account, usage.cost);
         }
         const expiresAt = this.clock.monotonic() + SHARE_PERIOD_MS * 3;
         for (const { account, count } of req.inFlight) {
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -2,6 +2,7 @@
  * The parts of an instance that serve callers and upstreams, wired together.
  */
 import { type ServiceBroker } from "moleculer";
+import { type Bill } from "../common/billing/Bill.ts";
 import { type RouterError } from "../common/errors/RouterError.ts";
 import { type InstanceCore } from "../common/instance/InstanceCore.ts";
 import { DisposableOwner } from "../common/lifecycle/Disposable.ts";
@@ -71,7 +72,7 @@
             hasUpstreams: target => core.dispatcher.hasUpstreams(target),
         });
         const maxBodyBytes = settings.limits.max_body_bytes;
-        const recordBill = core.bills.record.bind(core.bills);
+        const recordBill = (bill: Bill): Promise<void> => this.recordBill(bill);
         const chat = new ChatHandler({
             clock,
             attempts,
@@ -94,6 +95,7 @@
             services,
             table: () => core.follower.table,
             timeline: core.timeline,
+            usage: core.usage,
             onAnswered: (ctx, err) => this.onAnswered(ctx, err),
         });
     }
@@ -114,6 +116,15 @@
         });
     }
 
+    /** A cascade's attempts all count for its account, on every instance. */
+    private async recordBill(bill: Bill): Promise<void> {
+        const weight = this.core.follower.table.accounts.find(account => account.name === bill.account)?.weight ?? 1;
+        for (const item of bill.items) {
+            this.core.usage.note(item.target, bill.account, weight, Math.max(1, item.tokens));
+        }
+        await this.core.bills.record(bill);
+    }
+
     private onDispatch(ctx: AttemptRequest, attempt: Attempt): void {
         const upstream = attempt.assignment.upstream.announcement.id;
         this.core.timeline.record("requestDispatched", `sent to ${upstream} as ${attempt.id}`, {
--- a/src/node/entry/CallerDoor.test.ts
+++ b/src/node/entry/CallerDoor.test.ts
@@ -54,6 +54,10 @@
             domainRow("a"),
             accountRow("x"),
             accountRow("y"),
+            { ...accountRow("few"), max_in_flight: 2 },
+            { ...accountRow("thrifty"), tokens_per_minute: 5 },
+            allowModel("few", "m"),
+            allowModel("thrifty", "m"),
             versionRow("m", "v1", 100, 1, 0.9),
             versionRow("small", "v1", 100, 0.1, 0.7),
             { record: "service", name: "book", cost: 0.5 },
@@ -115,6 +119,16 @@
     }
 });
 
+test("an account at a limit of the sheet is refused and told when to come back", async () => {
+    const many = await Promise.all([...Array(6).keys()].map(() => deployment.chat("a-1", "key-few", chatBody())));
+    const refused = many.filter(answer => answer.status === 429);
+    assert.equal(many.filter(answer => answer.status === 200).length, 2);
+    assert.equal(refused.length, 4);
+    assert.ok(refused.every(answer => Number(answer.headers["retry-after"]) >= 1));
+    assert.equal((await deployment.chat("a-1", "key-thrifty", chatBody())).status, 200);
+    assert.equal(problemOf(await deployment.chat("a-1", "key-thrifty", chatBody())), "429 tooManyRequests not_run");
+});
+
 test("a flood of headers is refused before anything else", async () => {
     const answer = await sendRaw("{}", { "x-flood": "y".repeat(10_000) });
     assert.equal(answer.status, 431);
--- a/src/node/entry/CallerDoor.ts
+++ b/src/node/entry/CallerDoor.ts
@@ -5,6 +5,7 @@
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type RoutingTable } from "../../common/configuration/RoutingTable.ts";
 import { type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
+import { type UsageShare } from "../../common/routing/UsageShare.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Timeline } from "../../common/timeline/Timeline.ts";
 import { sendJson, sendProblem } from "../http/HttpBody.ts";
@@ -27,6 +28,7 @@
     readonly services: ServiceHandler;
     readonly table: () => RoutingTable;
     readonly timeline: Timeline;
+    readonly usage: UsageShare;
     /** Called with the outcome of every request. */
     readonly onAnswered: (ctx: RequestContext | undefined, err: RouterError | undefined) => void;
 }
@@ -58,8 +60,9 @@
         try {
             this.refuseWhileStopping();
             ctx = new RequestContext(id, req, res, this.parts.clock, this.parts.table(), this.parts.limits);
+            this.parts.usage.requireWithinLimits(ctx.account);
             this.recordArrival(ctx, req);
-            await this.answer(ctx, req, res);
+            await this.answerCounted(ctx, req, res);
             this.onAnswered(ctx);
         }
         catch (err) {
@@ -82,6 +85,17 @@
         return new Promise(resolve => this.idle.push(resolve));
     }
 
+    private async answerCounted(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const { usage } = this.parts;
+        usage.onStarted(ctx.account.name);
+        try {
+            await this.answer(ctx, req, res);
+        }
+        finally {
+            usage.onEnded(ctx.account.name);
+        }
+    }
+
     private answer(ctx: RequestContext, req: IncomingMessage, res: ServerResponse): Promise<void> {
         const path = (req.url ?? "").split("?")[0] ?? "";
         if (path.startsWith(SERVICES_PATH)) {
