--- a/bench/scenarios/Path.ts
+++ b/bench/scenarios/Path.ts
@@ -12,9 +12,9 @@
 import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
 import { type LoadPlan, type LoadResult } from "./PathLoad.ts";
 
-const CONCURRENCY = 128;
+const CONCURRENCY = 256;
 const WARM_UP_REQUESTS = 1500;
-const REQUESTS = 12_000;
+const REQUESTS = 16_000;
 const ROUNDS = 3;
 /** Peak rate of the letter for the whole system, in requests a second. */
 const PEAK_RATE = 990;
--- a/src/cli/Main.ts
+++ b/src/cli/Main.ts
@@ -132,6 +132,15 @@
     .describe("Show the control log of an instance.")
     .action((options: AdminOptions) => showControl(options));
 
+program
+    .command("control recover")
+    .describe("The majority is lost for good: make this stopped instance the only voter.")
+    .option("--config", "Settings file of the stopped instance")
+    .option("--confirm", "Name of the deployment, to do it")
+    .action(async (options: { config: string; confirm?: string; }) =>
+        (await import("./RecoverCommand.ts")).recoverControl(options)
+    );
+
 program
     .command("billing export")
     .describe("Totals by client account, or every bill with --json.")
--- /dev/null
+++ b/src/cli/RecoverCommand.ts
@@ -0,0 +1,47 @@
+/**
+ * `skylarktide control recover`: the guarded way out when a majority of the voters is lost for good. It makes
+ * the stopped instance's own log the only one, with itself as the only voter.
+ */
+import { VOTERS_COMMAND } from "../common/control/EntryLog.ts";
+import { createLog } from "../node/log/Log.ts";
+import { readSettings } from "../node/settings/SettingsReader.ts";
+import { DataFolder } from "../node/storage/DataFolder.ts";
+import { FileLogStore } from "../node/storage/FileLogStore.ts";
+import { ExitCode, fail, print, printSettingsFaults } from "./Output.ts";
+
+interface RecoverOptions {
+    readonly config: string;
+    /** Must repeat the deployment's name. */
+    readonly confirm?: string;
+}
+
+/** Shows what would be kept, and does it when confirmed by the deployment's name. */
+export const recoverControl = async (options: RecoverOptions): Promise<void> => {
+    const { settings, faults } = readSettings(options.config, process.env);
+    if (settings === undefined) {
+        printSettingsFaults(faults);
+        process.exit(ExitCode.BadInput);
+    }
+    const { data, deployment, id } = settings.instance;
+    if (data === undefined) {
+        return fail("the instance has no data folder, so it holds no control log", ExitCode.BadInput);
+    }
+    const folder = await DataFolder.take(data, deployment, id).catch((err: unknown) => fail((err as Error).message));
+    const store = new FileLogStore(await folder.folder("control"), createLog(id, settings.log.level));
+    const stored = await store.load();
+    const last = stored.entries.at(-1);
+    const lastIndex = last?.index ?? stored.snapshot?.lastIndex ?? 0;
+    const lastTerm = last?.term ?? stored.snapshot?.lastTerm ?? 0;
+    print(`this log ends at index ${lastIndex}, term ${lastTerm}; compare it with those of the other surviving voters`);
+    if (options.confirm === deployment) {
+        const term = Math.max(stored.term, lastTerm) + 1;
+        await store.saveVote(term, id);
+        await store.append([{ index: lastIndex + 1, term, command: { kind: VOTERS_COMMAND, voters: [id] } }]);
+        print(`${id} is now the only voter; start it, then add the others with "skylarktide control add"`);
+    }
+    else {
+        print(`nothing was changed; to make ${id} the only voter, add --confirm ${deployment}`);
+    }
+    await store.close();
+    await folder.release();
+};
