SIGTERM no longer cuts requests: the broker's signal handler is off

Cause: trial with eight processes of the binary: on SIGTERM an instance ended with code 0 before 'has stopped', the others called it lost; moleculer's broker brings a SIGTERM handler that ends the process. In-process tests could not see it. Also: a restarted instance was ready before it knew any upstream (10 refusals as 'not run' under load), a closing door waited for keep-alive connections, 'head' on the command line gave a stack trace. Test with processes, SIGTERM and SIGKILL.

--- a/src/cli/Main.ts
+++ b/src/cli/Main.ts
@@ -6,7 +6,7 @@
 import { VERSION } from "../node/Version.ts";
 import { type AdminOptions, callAdmin } from "./AdminClient.ts";
 import { check } from "./Check.ts";
-import { print, printJson } from "./Output.ts";
+import { ExitCode, print, printJson } from "./Output.ts";
 import { exportBilling, showControl, showTimeline } from "./ReadCommands.ts";
 import { explainSettings } from "./SettingsCommand.ts";
 import { diffSheet, listSheets, sheetStatus, showSheet, submitSheet } from "./SheetCommands.ts";
@@ -16,6 +16,12 @@
     readonly reason?: string;
 }
 
+// A reader such as `head` that closes its end early is no fault.
+process.stdout.on(
+    "error",
+    (err: NodeJS.ErrnoException) => process.exit(err.code === "EPIPE" ? ExitCode.Done : ExitCode.Failed),
+);
+
 const program = sade("skylarktide").version(VERSION);
 
 program.option("--admin", "Admin door of an instance; else SKYLARKTIDE_ADMIN, else http://127.0.0.1:8081");
--- /dev/null
+++ b/src/cli/Serve.test.ts
@@ -0,0 +1,105 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { FakeEngine } from "../../addons/fakes/FakeEngine.ts";
+import { accountRow, allowModel, domainRow, sheetText, versionRow } from "../../addons/fakes/SheetText.ts";
+
+const ANSWER_MS = 600;
+const READY_MS = 10_000;
+
+interface Served {
+    readonly process: ChildProcess;
+    readonly log: () => string;
+    readonly exited: Promise<number | null>;
+}
+
+const freePorts = async (count: number): Promise<number[]> => {
+    const servers = await Promise.all(
+        [...Array(count).keys()].map(() =>
+            new Promise<ReturnType<typeof createServer>>(resolve => {
+                const server = createServer();
+                server.listen(0, "127.0.0.1", () => resolve(server));
+            })
+        ),
+    );
+    const ports = servers.map(server => (server.address() as { port: number; }).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+};
+
+const serve = (config: string): Served => {
+    const child = spawn(process.execPath, ["src/cli/Main.ts", "serve", "--config", config], {
+        stdio: ["ignore", "ignore", "pipe"],
+    });
+    let log = "";
+    child.stderr?.on("data", (chunk: Buffer) => log += chunk.toString());
+    const exited = new Promise<number | null>(resolve => child.on("exit", resolve));
+    return { process: child, log: () => log, exited };
+};
+
+const until = async (isReached: () => Promise<boolean>): Promise<void> => {
+    const end = performance.now() + READY_MS;
+    while (!await isReached().catch(() => false)) {
+        assert.ok(performance.now() < end, "gave up waiting");
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+};
+
+test("SIGTERM cuts no request, SIGKILL is survived, and the sheet is in force again", async () => {
+    const folder = await mkdtemp(join(tmpdir(), "serve-"));
+    const [callers, admin, upstreams] = await freePorts(3);
+    const config = join(folder, "a-1.ini");
+    const sheet = join(folder, "sheet.csv");
+    await writeFile(
+        sheet,
+        sheetText(1, [domainRow("a"), accountRow("x"), versionRow("m", "v1", 100), allowModel("x", "m")]),
+    );
+    const doors = `callers = 127.0.0.1:${callers}\nadmin = 127.0.0.1:${admin}\nupstreams = 127.0.0.1:${upstreams}`;
+    const instance =
+        `id = a-1\ndeployment = test\ndomain = a\nregion = r\nroles = entry,control\ndata = ${folder}/data`;
+    await writeFile(config, `[instance]\n${instance}\n[doors]\n${doors}\n[sheet]\nbootstrap = ${sheet}\n`);
+    const versions = [{ model: "m", version: "v1" }];
+    const announceTo = [`http://127.0.0.1:${upstreams}`];
+    const engine = new FakeEngine({
+        id: "e1",
+        domain: "a",
+        announceTo,
+        capacity: 8,
+        versions,
+        firstTokenMs: ANSWER_MS,
+    });
+    const ask = (): Promise<number> =>
+        fetch(`http://127.0.0.1:${callers}/v1/chat/completions`, {
+            method: "POST",
+            headers: { authorization: "Bearer key-x" },
+            body: JSON.stringify({ model: "m", messages: [{ role: "user", content: "hi" }] }),
+        }).then(answer => answer.status);
+    const isReady = async (): Promise<boolean> => (await fetch(`http://127.0.0.1:${admin}/ready`)).status === 200;
+
+    const first = serve(config);
+    await until(isReady);
+    await engine.start("one");
+    await until(async () => await ask() === 200);
+    const inFlight = [ask(), ask(), ask()];
+    await new Promise(resolve => setTimeout(resolve, ANSWER_MS / 3));
+    first.process.kill("SIGTERM");
+    assert.deepEqual(await Promise.all(inFlight), [200, 200, 200]);
+    assert.equal(await first.exited, 0);
+    assert.match(first.log(), /The instance has stopped/);
+
+    const second = serve(config);
+    await until(isReady);
+    second.process.kill("SIGKILL");
+    await second.exited;
+    const third = serve(config);
+    await until(isReady);
+    await until(async () => await ask() === 200);
+    third.process.kill("SIGTERM");
+    assert.equal(await third.exited, 0);
+    engine.stop();
+    await rm(folder, { recursive: true, force: true });
+});
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -139,6 +139,7 @@
         await this.control?.start();
         await this.membership.join();
         await this.pinSpread.catchUp();
+        await this.relay.catchUp();
         await this.follower.refresh();
     }
 
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -22,6 +22,8 @@
         req: z.object({ announcements: z.array(announcementSchema), renewals: z.array(z.number()) }),
         reply: z.object({ unknown: z.array(z.number()) }),
     },
+    /** All upstreams that the receiver knows, for an instance that has just started. */
+    fetchUpstreams: { req: empty, reply: z.object({ announcements: z.array(announcementSchema) }) },
     reportUpstreams: {
         req: z.object({ loads: z.array(loadReportSchema), caches: z.array(cacheEventSchema) }),
         reply: empty,
--- a/src/common/upstreams/UpstreamRelay.ts
+++ b/src/common/upstreams/UpstreamRelay.ts
@@ -46,6 +46,7 @@
         this.onCache = onCache;
         this.register(network.handle("announceUpstreams", req => this.onAnnounced(req.announcements, req.renewals)));
         this.register(network.handle("doubtUpstream", req => this.onDoubted(req)));
+        this.register(network.handle("fetchUpstreams", () => ({ announcements: [...this.announcements.values()] })));
         this.register(network.handle("leaveUpstream", req => this.onLeft(req)));
         this.register(network.handle("reportUpstreams", req => this.onReported(req.loads, req.caches)));
         this.register(registry.onLost(loss => this.forget(loss.upstream.announcement)));
@@ -65,6 +66,22 @@
         return true;
     }
 
+    /** Learns the upstreams of a peer, so that an instance which has just started need not wait for heartbeats. */
+    public async catchUp(): Promise<void> {
+        const { self } = this.membership;
+        const peers = this.membership.alive().filter(member => member.id !== self.id && member.region === self.region);
+        for (const member of peers.filter(item => item.roles.includes("entry"))) {
+            try {
+                const reply = await this.network.call(member.id, "fetchUpstreams", {}, CALL_TIMEOUT_MS);
+                this.onAnnounced(reply.announcements, []);
+                return;
+            }
+            catch {
+                continue;
+            }
+        }
+    }
+
     public leave(leaving: Leaving): void {
         this.registry.leave(leaving);
         this.tellAll(peer => this.network.call(peer, "leaveUpstream", leaving, CALL_TIMEOUT_MS));
--- a/src/node/Instance.ts
+++ b/src/node/Instance.ts
@@ -65,6 +65,8 @@
             logger: false,
             metrics: false,
             tracing: false,
+            // Its own signal handler would end the process before requests in flight are answered.
+            skipProcessEventRegistration: true,
         });
         const { id, deployment } = settings.instance;
         const secret = settings.control.secret ?? "";
--- a/src/node/http/HttpDoor.ts
+++ b/src/node/http/HttpDoor.ts
@@ -23,6 +23,8 @@
 
 /** How often node looks for connections that exceed the arrival time, in ms. */
 const ARRIVAL_CHECK_MS = 500;
+/** How often a closing door looks for connections that have turned idle, in ms. */
+const SWEEP_MS = 50;
 /** How long an idle connection is kept, in ms. */
 const KEEP_ALIVE_MS = 65_000;
 
@@ -75,7 +77,12 @@
             return Promise.resolve();
         }
         return new Promise(resolve => {
-            server.close(() => resolve());
+            // A connection that turns idle later would keep the door open for the length of its keep-alive.
+            const sweep = setInterval(() => server.closeIdleConnections(), SWEEP_MS);
+            server.close(() => {
+                clearInterval(sweep);
+                resolve();
+            });
             server.closeIdleConnections();
         });
     }
