Scenarios share their set-up, and path measures a busy thread

Cause: duplicates showed the same set-up in five scenarios; path compared a thread that was idle for 40 % of the time, as one load thread could not keep it busy. Change: bench/OneModel.ts; two load threads and two engines; answers are read by events.

--- a/bench/scenarios/Domain.ts
+++ b/bench/scenarios/Domain.ts
@@ -1,13 +1,12 @@
 /**
  * `domain`: a failure domain drained, cut off and back; an upstream leaving; a planned stop under load.
  */
-import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
 import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
-import { eightInstances, World, type WorldNode } from "../../addons/fakes/World.ts";
+import { type World, type WorldNode } from "../../addons/fakes/World.ts";
 import { isRouterError } from "../../src/common/errors/RouterError.ts";
+import { addEngines, DOMAINS, startOneModel, TARGET } from "../OneModel.ts";
 import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
 
-const DOMAINS = ["a", "b", "c", "d"];
 const ENGINES_PER_DOMAIN = 2;
 const CAPACITY = 10;
 const WORK_MS = 150;
@@ -30,25 +29,9 @@
 }
 
 const run = async (seed: number): Promise<Outcome> => {
-    const world = new World(seed, eightInstances);
+    const world = await startOneModel(seed);
     const counts = new Counts();
-    await world.start([
-        ...DOMAINS.map(name => domainRow(name)),
-        accountRow("x"),
-        versionRow("m", "v1", 100),
-        allowModel("x", "m"),
-    ]);
-    for (const domain of DOMAINS) {
-        for (let index = 0; index < ENGINES_PER_DOMAIN; index++) {
-            world.addUpstream({
-                id: `e-${domain}${index}`,
-                domain,
-                versions: [{ model: "m", version: "v1" }],
-                capacity: CAPACITY,
-            });
-        }
-    }
-    await world.advance(4000);
+    await addEngines(world, ENGINES_PER_DOMAIN, { capacity: CAPACITY }, 4000);
     const play = new Play(world, counts);
     await play.run();
     world.dispose();
@@ -145,7 +128,7 @@
         const startedAt = world.now;
         const req = simRequest(world.clock, `r${this.count++}`, { name: "x", weight: 1 }, DEADLINE_MS);
         try {
-            await world.request(node, req, simWork("m@v1", req.id), WORK_MS);
+            await world.request(node, req, simWork(TARGET, req.id), WORK_MS);
             counts.latencies[phase].push(world.now - startedAt);
             counts.insideServed += isInside ? 1 : 0;
         }
--- a/bench/scenarios/Fair.ts
+++ b/bench/scenarios/Fair.ts
@@ -1,12 +1,11 @@
 /**
  * `fair`: one account at ten times its share beside light ones, over all instances.
  */
-import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
 import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
-import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { type World } from "../../addons/fakes/World.ts";
+import { addEngines, DOMAINS, startOneModel, TARGET } from "../OneModel.ts";
 import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
 
-const DOMAINS = ["a", "b", "c", "d"];
 const CAPACITY = 8;
 const WORK_MS = 200;
 const DEADLINE_MS = 8000;
@@ -28,17 +27,8 @@
 const names = [...LIGHT, "heavy", ...Object.keys(WEIGHTS)];
 
 const prepare = async (seed: number): Promise<World> => {
-    const world = new World(seed, eightInstances);
-    await world.start([
-        ...DOMAINS.map(name => domainRow(name)),
-        ...names.map(name => accountRow(name, WEIGHTS[name] ?? 1)),
-        versionRow("m", "v1", 100),
-        ...names.map(name => allowModel(name, "m")),
-    ]);
-    for (const domain of DOMAINS) {
-        world.addUpstream({ id: `e-${domain}`, domain, versions: [{ model: "m", version: "v1" }], capacity: CAPACITY });
-    }
-    await world.advance(3000);
+    const world = await startOneModel(seed, Object.fromEntries(names.map(name => [name, WEIGHTS[name] ?? 1])));
+    await addEngines(world, 1, { capacity: CAPACITY });
     return world;
 };
 
@@ -55,7 +45,7 @@
         world.arrivals(() => rate, end, () => {
             const startedAt = world.now;
             const req = simRequest(world.clock, `r${count++}`, account, DEADLINE_MS);
-            world.request(world.random.pick(world.ready), req, simWork("m@v1", req.id), WORK_MS).then(() => {
+            world.request(world.random.pick(world.ready), req, simWork(TARGET, req.id), WORK_MS).then(() => {
                 if (startedAt >= from && world.now <= end) {
                     latencies.set(name, [...latencies.get(name) ?? [], world.now - startedAt]);
                 }
--- a/bench/scenarios/Overload.ts
+++ b/bench/scenarios/Overload.ts
@@ -1,13 +1,11 @@
 /**
  * `overload`: goodput at up to three times the capacity. A request counts when it is answered in time.
  */
-import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
 import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
-import { eightInstances, World } from "../../addons/fakes/World.ts";
 import { isRouterError } from "../../src/common/errors/RouterError.ts";
+import { addEngines, startOneModel, TARGET } from "../OneModel.ts";
 import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
 
-const DOMAINS = ["a", "b", "c", "d"];
 const CAPACITY = 8;
 const WORK_MS = 200;
 const DEADLINE_MS = 1500;
@@ -23,17 +21,8 @@
 }
 
 const offer = async (seed: number, load: number): Promise<Goodput> => {
-    const world = new World(seed, eightInstances);
-    await world.start([
-        ...DOMAINS.map(name => domainRow(name)),
-        accountRow("x"),
-        versionRow("m", "v1", 100),
-        allowModel("x", "m"),
-    ]);
-    for (const domain of DOMAINS) {
-        world.addUpstream({ id: `e-${domain}`, domain, versions: [{ model: "m", version: "v1" }], capacity: CAPACITY });
-    }
-    await world.advance(3000);
+    const world = await startOneModel(seed);
+    await addEngines(world, 1, { capacity: CAPACITY });
     const from = world.now + WARM_UP_MS;
     const end = world.now + RUN_MS;
     const refusals: number[] = [];
@@ -44,7 +33,7 @@
         const id = `r${count++}`;
         const startedAt = world.now;
         const req = simRequest(world.clock, id, { name: "x", weight: 1 }, DEADLINE_MS);
-        world.request(world.random.pick(world.ready), req, simWork("m@v1", id), WORK_MS).then(() => {
+        world.request(world.random.pick(world.ready), req, simWork(TARGET, id), WORK_MS).then(() => {
             answered += startedAt >= from && world.now - startedAt <= DEADLINE_MS ? 1 : 0;
         }, (err: unknown) => {
             refusals.push(world.now - startedAt);
--- a/bench/scenarios/Path.ts
+++ b/bench/scenarios/Path.ts
@@ -29,40 +29,40 @@
 }
 
 const run = async (seed: number): Promise<Outcome> => {
-    const engine = startWorker();
-    const load = startWorker();
-    const enginePort = await engine.ask<number>({ kind: "engine" });
+    const engines = [startWorker(), startWorker()];
+    const loads = [startWorker(), startWorker()];
+    const enginePorts = await Promise.all(engines.map(engine => engine.ask<number>({ kind: "engine" })));
     const deployment = new Deployment("path");
     await deployment.start([{ id: "a-1", domain: "a", isControl: true }]);
-    await prepare(deployment, enginePort);
-    const bare = await startPassThrough(enginePort);
+    await prepare(deployment, enginePorts);
+    const bare = await startPassThrough(enginePorts);
     const router: Target = { url: deployment.urls("a-1").callers, key: "key-x" };
     const barePort = (bare.server.address() as AddressInfo).port;
     const passThrough: Target = { url: `http://127.0.0.1:${barePort}`, key: "none" };
     try {
-        return await measure(load, router, passThrough, seed);
+        return await measure(loads, router, passThrough, seed);
     }
     finally {
         bare.server.close();
-        await bare.pool.destroy();
+        await Promise.all(bare.pools.map(pool => pool.destroy()));
         await deployment.stop();
-        await Promise.all([engine.stop(), load.stop()]);
+        await Promise.all([...engines, ...loads].map(thread => thread.stop()));
     }
 };
 
-const prepare = async (deployment: Deployment, enginePort: number): Promise<void> => {
+const prepare = async (deployment: Deployment, enginePorts: readonly number[]): Promise<void> => {
     const rows = [domainRow("a"), accountRow("x"), versionRow("m", "v1", 100), allowModel("x", "m")];
     await deployment.submitSheet("a-1", sheetText(1, rows));
     await deployment.waitForSheet(1);
-    const announce = async (): Promise<void> => {
+    const announce = async (port: number): Promise<void> => {
         await fetch(`${deployment.urls("a-1").upstreams}/upstream/v1/announce`, {
             method: "POST",
             body: JSON.stringify({
-                id: "engine",
+                id: `engine-${port}`,
                 startId: "s1",
                 domain: "a",
                 host: "127.0.0.1",
-                port: enginePort,
+                port,
                 versions: [{ model: "m", version: "v1" }],
                 capacity: 2000,
                 coldCapacity: 2000,
@@ -70,28 +70,58 @@
             }),
         });
     };
-    await announce();
-    setInterval(() => void announce(), 1000).unref();
-    await deployment.waitForUpstreams(1);
+    const announceAll = (): Promise<void[]> => Promise.all(enginePorts.map(announce));
+    await announceAll();
+    setInterval(() => void announceAll(), 1000).unref();
+    await deployment.waitForUpstreams(enginePorts.length);
     await new Promise(resolve => setTimeout(resolve, 2500));
 };
 
-const measure = async (load: Thread, router: Target, bare: Target, seed: number): Promise<Outcome> => {
-    const closed = (target: Target, requests: number): Promise<LoadResult> =>
-        load.ask<LoadResult>({
-            kind: "load",
-            ...target,
-            requests,
-            concurrency: CONCURRENCY,
-            ratePerS: 0,
-            isStream: false,
-            seed,
-        });
-    await closed(router, WARM_UP_REQUESTS);
-    await closed(bare, WARM_UP_REQUESTS);
-    const rounds: { router: LoadResult; bare: LoadResult; }[] = [];
+/** Closed-loop load of all callers, and the part of its time for which the measured thread was busy. */
+interface ClosedLoop {
+    readonly perSecond: number;
+    readonly latenciesMs: readonly number[];
+    readonly wrongAnswers: number;
+    readonly cores: number;
+}
+
+const closedLoop = async (
+    loads: readonly Thread[],
+    target: Target,
+    requests: number,
+    seed: number,
+): Promise<ClosedLoop> => {
+    const before = performance.eventLoopUtilization();
+    const plan = {
+        kind: "load",
+        ...target,
+        concurrency: CONCURRENCY / loads.length,
+        ratePerS: 0,
+        isStream: false,
+    } as const;
+    const results = await Promise.all(
+        loads.map((load, index) =>
+            load.ask<LoadResult>({ ...plan, requests: requests / loads.length, seed: seed + index })
+        ),
+    );
+    return {
+        perSecond: results.reduce((sum, result) => sum + result.perSecond, 0),
+        latenciesMs: results.flatMap(result => result.latenciesMs),
+        wrongAnswers: results.reduce((sum, result) => sum + result.wrongAnswers, 0),
+        cores: performance.eventLoopUtilization(before).utilization,
+    };
+};
+
+const measure = async (loads: readonly Thread[], router: Target, bare: Target, seed: number): Promise<Outcome> => {
+    const load = loads[0] as Thread;
+    await closedLoop(loads, router, WARM_UP_REQUESTS, seed);
+    await closedLoop(loads, bare, WARM_UP_REQUESTS, seed);
+    const rounds: { router: ClosedLoop; bare: ClosedLoop; }[] = [];
     for (let index = 0; index < ROUNDS; index++) {
-        rounds.push({ router: await closed(router, REQUESTS), bare: await closed(bare, REQUESTS) });
+        rounds.push({
+            router: await closedLoop(loads, router, REQUESTS, seed + index * 2),
+            bare: await closedLoop(loads, bare, REQUESTS, seed + index * 2),
+        });
     }
     const peak = await measureOpenLoop(load, router, seed, { rate: PEAK_RATE, seconds: PEAK_SECONDS, isStream: false });
     const stream = await measureOpenLoop(load, router, seed, {
@@ -100,15 +130,18 @@
         isStream: true,
     });
     const ratios = rounds.map(item => item.router.perSecond / item.bare.perSecond);
+    const median = (valueOf: (item: typeof rounds[number]) => number): number => quantile(rounds.map(valueOf), 0.5);
     const addedAt = (q: number): number =>
-        quantile(rounds.map(item => quantile(item.router.latenciesMs, q) / quantile(item.bare.latenciesMs, q)), 0.5);
+        median(item => quantile(item.router.latenciesMs, q) / quantile(item.bare.latenciesMs, q));
     const wrong = rounds.reduce((sum, item) => sum + item.router.wrongAnswers, stream.result.wrongAnswers);
     return {
         violations: { wrong_answer: wrong },
         figures: {
             throughput_ratio: round(quantile(ratios, 0.5)),
-            router_requests_per_s: Math.round(quantile(rounds.map(item => item.router.perSecond), 0.5)),
-            bare_requests_per_s: Math.round(quantile(rounds.map(item => item.bare.perSecond), 0.5)),
+            router_requests_per_s: Math.round(median(item => item.router.perSecond)),
+            bare_requests_per_s: Math.round(median(item => item.bare.perSecond)),
+            router_cores: round(median(item => item.router.cores)),
+            bare_cores: round(median(item => item.bare.cores)),
             added_p50_ratio: round(addedAt(0.5)),
             added_p99_ratio: round(addedAt(0.99)),
             ttft_p95_ms: round(quantile(stream.result.firstTokenMs, 0.95)),
@@ -142,25 +175,29 @@
 };
 
 /** The least that stands between a caller and an engine: node:http in front, an undici pool behind. */
-const startPassThrough = async (enginePort: number): Promise<{ server: Server; pool: Pool; }> => {
-    const pool = new Pool(`http://127.0.0.1:${enginePort}`, { connections: CONCURRENCY * 2, pipelining: 1 });
+const startPassThrough = async (enginePorts: readonly number[]): Promise<{ server: Server; pools: Pool[]; }> => {
+    const pools = enginePorts.map(port =>
+        new Pool(`http://127.0.0.1:${port}`, { connections: CONCURRENCY, pipelining: 1 })
+    );
+    let turn = 0;
     const server = createServer((req, res) => {
         const chunks: Buffer[] = [];
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
         req.on("end", () => {
             const body = Buffer.concat(chunks);
             const headers = { "content-type": "application/json", "x-request-id": "bare" };
-            void pool.request({ path: req.url ?? "/", method: "POST", headers, body }).then(async answer => {
-                res.writeHead(answer.statusCode, { "content-type": "application/json" });
-                for await (const chunk of answer.body) {
-                    res.write(chunk);
-                }
-                res.end();
-            });
+            void (pools[turn++ % pools.length] as Pool).request({ path: req.url ?? "/", method: "POST", headers, body })
+                .then(async answer => {
+                    res.writeHead(answer.statusCode, { "content-type": "application/json" });
+                    for await (const chunk of answer.body) {
+                        res.write(chunk);
+                    }
+                    res.end();
+                });
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return { server, pool };
+    return { server, pools };
 };
 
 interface Thread {
--- a/bench/scenarios/Poison.ts
+++ b/bench/scenarios/Poison.ts
@@ -1,13 +1,12 @@
 /**
  * `poison`: requests that crash whatever runs them, resent to all instances, beside innocent ones.
  */
-import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
 import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
-import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { type World } from "../../addons/fakes/World.ts";
 import { isRouterError } from "../../src/common/errors/RouterError.ts";
+import { addEngines, startOneModel, TARGET } from "../OneModel.ts";
 import { type Outcome, round, type Scenario } from "../Scenario.ts";
 
-const DOMAINS = ["a", "b", "c", "d"];
 const ENGINES_PER_DOMAIN = 3;
 const POISONS = 4;
 /** Times that a caller sends its request again after a failure. */
@@ -19,24 +18,8 @@
 const RESTART_MS = 2500;
 
 const run = async (seed: number): Promise<Outcome> => {
-    const world = new World(seed, eightInstances);
-    await world.start([
-        ...DOMAINS.map(name => domainRow(name)),
-        accountRow("x"),
-        versionRow("m", "v1", 100),
-        allowModel("x", "m"),
-    ]);
-    for (const domain of DOMAINS) {
-        for (let index = 0; index < ENGINES_PER_DOMAIN; index++) {
-            world.addUpstream({
-                id: `e-${domain}${index}`,
-                domain,
-                versions: [{ model: "m", version: "v1" }],
-                capacity: 8,
-            });
-        }
-    }
-    await world.advance(3000);
+    const world = await startOneModel(seed);
+    await addEngines(world, ENGINES_PER_DOMAIN, { capacity: 8 });
     let innocentRefused = 0;
     let innocentFailed = 0;
     let innocent = 0;
@@ -44,7 +27,7 @@
     world.arrivals(() => RATE, end, () => {
         const id = `good-${innocent++}`;
         const req = simRequest(world.clock, id, { name: "x", weight: 1 }, DEADLINE_MS);
-        world.request(world.random.pick(world.ready), req, simWork("m@v1", id), 150).catch((err: unknown) => {
+        world.request(world.random.pick(world.ready), req, simWork(TARGET, id), 150).catch((err: unknown) => {
             const isQuarantined = isRouterError(err) && err.code === "quarantined";
             innocentRefused += isQuarantined ? 1 : 0;
             innocentFailed += isQuarantined ? 0 : 1;
@@ -75,7 +58,7 @@
         if (node === undefined) {
             return;
         }
-        await world.request(node, req, simWork("m@v1", body), 150, true).catch(() => undefined);
+        await world.request(node, req, simWork(TARGET, body), 150, true).catch(() => undefined);
         await world.sleepFor(RESEND_PAUSE_MS);
     }
 };
--- a/bench/scenarios/Ramp.ts
+++ b/bench/scenarios/Ramp.ts
@@ -1,10 +1,10 @@
 /**
  * `ramp`: cold starts and silent re-cold under full load from all instances.
  */
-import { accountRow, allowModel, domainRow, versionRow } from "../../addons/fakes/SheetText.ts";
 import { simRequest, simWork } from "../../addons/fakes/SimRequests.ts";
 import { type SimUpstream } from "../../addons/fakes/SimUpstream.ts";
-import { eightInstances, World } from "../../addons/fakes/World.ts";
+import { type World } from "../../addons/fakes/World.ts";
+import { addEngines, startOneModel, TARGET } from "../OneModel.ts";
 import { type Outcome, round, type Scenario } from "../Scenario.ts";
 
 const CAPACITY = 16;
@@ -15,35 +15,30 @@
 const SETTLE_MS = 2000;
 /** More than all upstreams bear when warm. */
 const OFFERED_PER_S = 400;
-const DOMAINS = ["a", "b", "c", "d"];
 /** Least time in which a process is back after a crash, in ms. */
 const RESTART_MS = 300;
 const COLD_RUN_MS = 20_000;
 const RECOLD_RUN_MS = 15_000;
 
 const run = async (seed: number): Promise<Outcome> => {
-    const world = new World(seed, eightInstances);
-    await world.start([
-        ...DOMAINS.map(name => domainRow(name)),
-        accountRow("x"),
-        versionRow("m", "v1", 100),
-        allowModel("x", "m"),
-    ]);
+    const world = await startOneModel(seed);
     const end = world.now + SETTLE_MS + COLD_RUN_MS + RECOLD_RUN_MS;
     let answered = 0;
     let count = 0;
     world.arrivals(() => OFFERED_PER_S, end, () => {
         const req = simRequest(world.clock, `r${count++}`, { name: "x", weight: 1 }, DEADLINE_MS);
         const node = world.random.pick(world.ready);
-        world.request(node, req, simWork("m@v1"), WORK_MS).then(() => answered++, () => undefined);
+        world.request(node, req, simWork(TARGET), WORK_MS).then(() => answered++, () => undefined);
     });
-    const engines = DOMAINS.map(domain => addEngine(world, domain));
+    const engine = { capacity: CAPACITY, coldCapacity: COLD, warmMs: WARM_MS, deathFactor: 12 };
+    await addEngines(world, 1, engine, 0);
+    const engines = world.upstreams;
     const warmMs = await timeToWarm(world, engines, COLD_RUN_MS);
     // One engine restarts under its own id, the other without a word.
-    world.upstream("e-a").crash();
+    world.upstream("e-a0").crash();
     await world.advance(RESTART_MS);
-    world.upstream("e-a").start();
-    const silent = world.upstream("e-b");
+    world.upstream("e-a0").start();
+    const silent = world.upstream("e-b0");
     silent.start(false);
     await world.advance(RECOLD_RUN_MS);
     world.dispose();
@@ -60,17 +55,6 @@
     };
 };
 
-const addEngine = (world: World, domain: string): SimUpstream =>
-    world.addUpstream({
-        id: `e-${domain}`,
-        domain,
-        versions: [{ model: "m", version: "v1" }],
-        capacity: CAPACITY,
-        coldCapacity: COLD,
-        warmMs: WARM_MS,
-        deathFactor: 12,
-    });
-
 /** Time until all engines together have run at 90 % of their warm capacity, in ms. */
 const timeToWarm = async (world: World, engines: readonly SimUpstream[], limitMs: number): Promise<number> => {
     const startedAt = world.now;
--- a/src/node/entry/ChatHandler.ts
+++ b/src/node/entry/ChatHandler.ts
@@ -341,13 +341,17 @@
 };
 
 /** Reads a body to its end. Rejects when it breaks off. */
-export const readWhole = async (body: Readable): Promise<Buffer> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of body) {
-        chunks.push(chunk as Buffer);
-    }
-    return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-};
+export const readWhole = (body: Readable): Promise<Buffer> =>
+    // Events instead of an iterator: this runs for every answer, and an iterator costs more than the reading.
+    new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        body.on("data", (chunk: Buffer) => chunks.push(chunk));
+        body.on(
+            "end",
+            () => resolve(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)),
+        );
+        body.on("error", reject);
+    });
 
 /** Waits until a stream has begun, so that one that breaks before can be retried. */
 const firstOf = async (body: Readable): Promise<Readable> => {
