--- a/addons/fakes/World.ts
+++ b/addons/fakes/World.ts
@@ -224,16 +224,17 @@
         return found;
     }
 
-    /** Runs a request at an instance through the shipped attempts. */
+    /** Runs a request at an instance through the shipped attempts; its work may depend on the upstream. */
     public request(
         node: WorldNode,
         req: AttemptRequest,
         work: Work,
-        workMs: number,
+        workMs: number | ((upstreamId: string) => number),
         isPoison = false,
     ): Promise<Attempt> {
         const send = async (attempt: Attempt): Promise<Attempt> => {
-            await this.exchange(node, attempt, { id: attempt.id, workMs, isPoison });
+            const ms = typeof workMs === "number" ? workMs : workMs(attempt.assignment.upstream.announcement.id);
+            await this.exchange(node, attempt, { id: attempt.id, workMs: ms, isPoison });
             return attempt;
         };
         return node.attempts.run(req, work, send, () => false);
--- a/bench/Scenarios.ts
+++ b/bench/Scenarios.ts
@@ -12,6 +12,7 @@
 import { overload } from "./scenarios/Overload.ts";
 import { path } from "./scenarios/Path.ts";
 import { poison } from "./scenarios/Poison.ts";
+import { prefix } from "./scenarios/Prefix.ts";
 import { ramp } from "./scenarios/Ramp.ts";
 import { replay } from "./scenarios/Replay.ts";
 import { session } from "./scenarios/Session.ts";
@@ -28,6 +29,7 @@
     fair,
     overload,
     poison,
+    prefix,
     session,
     replay,
 ];
--- /dev/null
+++ b/bench/scenarios/Prefix.ts
@@ -0,0 +1,141 @@
+/**
+ * `prefix`: prompts that begin alike before engines that cache prefixes in limited memory and tell of it late
+ * and with gaps; the same requests once with prefixes known to routing, once by load only.
+ */
+import { SeededRandom } from "../../addons/fakes/SeededRandom.ts";
+import { simRequest } from "../../addons/fakes/SimRequests.ts";
+import { type World } from "../../addons/fakes/World.ts";
+import { addEngines, startOneModel, TARGET } from "../OneModel.ts";
+import { type Outcome, quantile, round, type Scenario } from "../Scenario.ts";
+
+const CAPACITY = 12;
+const RATE = 90;
+const RUN_MS = 25_000;
+const DEADLINE_MS = 8000;
+/** Time to read a whole prompt that is not cached, and to write the answer, in ms. */
+const PREFILL_MS = 240;
+const DECODE_MS = 160;
+const BLOCKS = 8;
+/** Documents that prompts begin with, a few of them asked about often. */
+const DOCUMENTS = 60;
+/** Prefix blocks that an engine keeps. */
+const CACHE_BLOCKS = 12 * BLOCKS;
+const EVENT_DELAY_MS = 800;
+const LOST_EVENTS = 0.2;
+
+/** What one engine has cached, oldest first. */
+class EngineCache {
+    private readonly blocks = new Set<string>();
+    private seq = 0;
+
+    public cachedFraction(prefixes: readonly string[]): number {
+        const missing = prefixes.findIndex(prefix => !this.blocks.has(prefix));
+        return (missing < 0 ? prefixes.length : missing) / prefixes.length;
+    }
+
+    /** Stores the prefixes; returns the event that the engine sends. */
+    public store(prefixes: readonly string[]): { seq: number; stored: string[]; evicted: string[]; } {
+        for (const prefix of prefixes) {
+            this.blocks.delete(prefix);
+            this.blocks.add(prefix);
+        }
+        const evicted: string[] = [];
+        for (const block of this.blocks) {
+            if (this.blocks.size <= CACHE_BLOCKS) {
+                break;
+            }
+            this.blocks.delete(block);
+            evicted.push(block);
+        }
+        return { seq: this.seq++, stored: [...prefixes], evicted };
+    }
+}
+
+interface Result {
+    readonly firstTokenMean: number;
+    readonly firstTokenP95: number;
+    readonly prefillSaved: number;
+    readonly failed: number;
+}
+
+const runOnce = async (seed: number, isPrefixAware: boolean): Promise<Result> => {
+    const world = await startOneModel(seed);
+    await addEngines(world, 2, { capacity: CAPACITY });
+    const caches = new Map(world.upstreams.map(upstream => [upstream.options.id, new EngineCache()]));
+    // Drawn apart from the world's own chance, so that both runs see the same requests.
+    const random = new SeededRandom(seed + 1000);
+    const firstTokens: number[] = [];
+    let saved = 0;
+    let failed = 0;
+    let count = 0;
+    world.arrivals(() => RATE, world.now + RUN_MS, () => {
+        const document = Math.floor(random.next() ** 2 * DOCUMENTS);
+        const prefixes = [...Array(BLOCKS).keys()].map(block => `d${document}-${block}`);
+        const id = `r${count++}`;
+        const startedAt = world.now;
+        const work = {
+            target: TARGET,
+            cost: 100,
+            prefixes: isPrefixAware ? prefixes : [],
+            prefillMs: PREFILL_MS,
+            isIdempotent: true,
+            fingerprint: id,
+        };
+        const workOn = (upstreamId: string): number => {
+            const fraction = caches.get(upstreamId)?.cachedFraction(prefixes) ?? 0;
+            const prefillMs = PREFILL_MS * (1 - fraction);
+            saved += fraction;
+            firstTokens.push(world.now - startedAt + prefillMs);
+            tellCache(world, upstreamId, caches, prefixes);
+            return prefillMs + DECODE_MS;
+        };
+        const req = simRequest(world.clock, id, { name: "x", weight: 1 }, DEADLINE_MS);
+        world.request(world.random.pick(world.ready), req, work, workOn).catch(() => failed++);
+    });
+    await world.advance(RUN_MS + DEADLINE_MS);
+    world.dispose();
+    return {
+        firstTokenMean: firstTokens.reduce((sum, ms) => sum + ms, 0) / firstTokens.length,
+        firstTokenP95: quantile(firstTokens, 0.95),
+        prefillSaved: saved / firstTokens.length,
+        failed,
+    };
+};
+
+const tellCache = (
+    world: World,
+    id: string,
+    caches: ReadonlyMap<string, EngineCache>,
+    prefixes: readonly string[],
+): void => {
+    const event = caches.get(id)?.store(prefixes);
+    if (event === undefined || world.random.chance(LOST_EVENTS)) {
+        return;
+    }
+    const { startId } = world.upstream(id).announcement();
+    world.clock.schedule(
+        EVENT_DELAY_MS,
+        () => world.random.pick(world.ready).core.relay.cache({ id, startId, ...event }),
+    );
+};
+
+const run = async (seed: number): Promise<Outcome> => {
+    const aware = await runOnce(seed, true);
+    const byLoad = await runOnce(seed, false);
+    return {
+        violations: { failed: aware.failed },
+        figures: {
+            first_token_mean_over_load_only: round(aware.firstTokenMean / byLoad.firstTokenMean),
+            first_token_p95_over_load_only: round(aware.firstTokenP95 / byLoad.firstTokenP95),
+            prefill_saved: round(aware.prefillSaved),
+            prefill_saved_load_only: round(byLoad.prefillSaved),
+        },
+    };
+};
+
+export const prefix: Scenario = {
+    name: "prefix",
+    summary: "routing by cached prompt prefixes beside load-only routing",
+    isExact: true,
+    run,
+};
--- a/src/common/routing/UpstreamChooser.ts
+++ b/src/common/routing/UpstreamChooser.ts
@@ -62,6 +62,8 @@
 
 /** Below this utilization the own failure domain is not left, as another one may be cut off at any time. */
 const LOCAL_UTILIZATION = 0.8;
+/** Unless that starts the answer this much earlier, as where a cache holds the prompt, in ms. */
+const WORTH_LEAVING_MS = 60;
 
 /**
  * The candidate with the least expected time, in the own failure domain while there is room; equal ones are
@@ -72,13 +74,19 @@
     demand: Demand,
     rotation: number,
 ): Candidate | undefined => {
-    const local = candidates.filter(candidate =>
-        candidate.upstream.announcement.domain === demand.domain
-        && utilizationOf(candidate, demand.now) <= LOCAL_UTILIZATION
-    );
-    return leastExpected(local.length > 0 ? local : candidates, demand, rotation);
+    const best = leastExpected(candidates, demand, rotation);
+    const local = leastExpected(candidates.filter(candidate => hasLocalRoom(candidate, demand)), demand, rotation);
+    if (best === undefined || local === undefined) {
+        return best;
+    }
+    const gainMs = expectedStartMs(local, demand) - expectedStartMs(best, demand);
+    return gainMs > WORTH_LEAVING_MS ? best : local;
 };
 
+const hasLocalRoom = (candidate: Candidate, demand: Demand): boolean =>
+    candidate.upstream.announcement.domain === demand.domain
+    && utilizationOf(candidate, demand.now) <= LOCAL_UTILIZATION;
+
 const leastExpected = (candidates: readonly Candidate[], demand: Demand, rotation: number): Candidate | undefined => {
     let best: Candidate | undefined;
     let bestMs = Infinity;
