--- a/src/node/Instance.ts
+++ b/src/node/Instance.ts
@@ -65,6 +65,8 @@
             logger: false,
             metrics: false,
             tracing: false,
+            // Retries, breakers, time limits and caches are ours; the broker's would only take time on every request.
+            internalMiddlewares: false,
             // Its own signal handler would end the process before requests in flight are answered.
             skipProcessEventRegistration: true,
         });
--- a/src/node/entry/CallerDoor.test.ts
+++ b/src/node/entry/CallerDoor.test.ts
@@ -231,6 +231,29 @@
     assert.ok(billed.some(([bill]) => bill?.items.length === 2), "an escalated answer itemises both attempts");
 });
 
+test("a caller that goes away cancels the work on the engine, and is billed for no whole answer", async () => {
+    const controller = new AbortController();
+    const sent = request(`${deployment.urls("a-1").callers}/v1/chat/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${KEY}` },
+        body: JSON.stringify(chatBody({ stream: true, messages: [{ role: "user", content: "going away" }] })),
+        signal: controller.signal,
+    });
+    const answer = await sent;
+    answer.body.on("error", () => undefined);
+    await new Promise(resolve => answer.body.once("readable", resolve));
+    assert.equal(engine.running, 1);
+    controller.abort();
+    await deployment.waitFor("the engine to stop", async () => engine.running === 0);
+    const isIncomplete = async (): Promise<boolean> => {
+        const { bills } = JSON.parse((await deployment.admin("a-1", "GET", "/admin/v1/billing")).body) as {
+            bills: { id: string; isComplete: boolean; }[];
+        };
+        return bills.some(bill => bill.id === answer.headers["x-request-id"] && !bill.isComplete);
+    };
+    await deployment.waitFor("the bill of the part", isIncomplete);
+});
+
 test("every upstream crash in a row of requests is answered by another attempt or a true refusal", async () => {
     engine.failStatus = 503;
     const refused = await deployment.chat("a-1", KEY, chatBody());
