Free slots are offered to the neediest first

Change: offers by need; what runs is no part of what others there lack. Failed try: the instance's own queue by least running; reverted.

--- a/src/common/slots/FairAllotment.ts
+++ b/src/common/slots/FairAllotment.ts
@@ -66,7 +66,12 @@
     const running = divide(total, items.map(({ name, need }) => ({ key: name, weight: 1, amount: need.inUse })), turn);
     const rest = total - [...running.values()].reduce((sum, part) => sum + part, 0);
     const waiting = divide(rest, items.map(({ name, need }) => ({ key: name, weight: 1, amount: need.waiting })), turn);
-    return new Map(items.map(({ name }) => [name, (running.get(name) ?? 0) + (waiting.get(name) ?? 0)]));
+    // A running request cannot be called back; were its part counted against what the borrower's other accounts
+    // lack, they would wait for it alone instead of for whichever request ends first.
+    return new Map(items.map(({ name, need }) => {
+        const part = (running.get(name) ?? 0) + (waiting.get(name) ?? 0);
+        return [name, Math.max(part, need.inUse)];
+    }));
 };
 
 /** Weighted max-min fair parts of a whole number. */
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -162,7 +162,7 @@
         now: number,
     ): void {
         let free = book.lendable - committedToOthers(book, "", now);
-        for (const [name, loan] of book.loans) {
+        for (const [name, loan] of neediestFirst(book)) {
             const held = reserved(loan, now);
             const missing = (parts.get(name)?.needed ?? 0) - held;
             const isServed = missing > 0 && free > 0;
@@ -340,6 +340,15 @@
     return least;
 };
 
+/** What is free must not be offered to one that will not get it while a needier one waits. */
+const neediestFirst = (book: Book): [string, Loan][] => {
+    const used = usedByAccount(book);
+    return [...book.loans].sort(([, a], [, b]) => compare(leastUse(a, used), leastUse(b, used)));
+};
+
+/** Order of two numbers of which both may be infinite. */
+const compare = (a: number, b: number): number => a === b ? 0 : a < b ? -1 : 1;
+
 const usedByAccount = (book: Book): Map<string, number> => {
     const used = new Map<string, number>();
     for (const loan of book.loans.values()) {
