--- a/src/common/slots/SlotBook.ts
+++ b/src/common/slots/SlotBook.ts
@@ -71,7 +71,8 @@
     /** Own failure domain. Spare slots elsewhere would be stuck when that domain is cut off. */
     private readonly domain: string;
     private readonly holdings = new Map<string, Holding>();
-    private readonly asking = new Set<string>();
+    /** Requests under way by owner. */
+    private readonly asking = new Map<string, number>();
     private readonly askAgain = new Set<string>();
     private readonly available = this.register(new Emitter<Upstream>());
 
@@ -250,21 +251,21 @@
         }
     }
 
-    /** One request is under way for each owner at a time; a need that arises meanwhile is asked right after. */
+    /** A few requests may be under way for each owner; a need that arises beyond them is asked right after. */
     private async askOwner(owner: string): Promise<void> {
-        if (this.asking.has(owner)) {
+        const underWay = this.asking.get(owner) ?? 0;
+        if (underWay >= MAX_UNDER_WAY) {
             this.askAgain.add(owner);
             return;
         }
-        this.asking.add(owner);
         const sentAt = this.clock.monotonic();
         const holdings = [...this.holdings.values()].filter(holding =>
             this.ownerOf(holding.upstream) === owner && this.isRenewed(holding)
         );
         if (holdings.length === 0) {
-            this.asking.delete(owner);
             return;
         }
+        this.asking.set(owner, underWay + 1);
         try {
             const grants = await this.borrow(owner, holdings.map(holding => this.toRequest(holding, sentAt)));
             for (const grant of grants) {
@@ -275,7 +276,7 @@
             // An owner that cannot be reached lends nothing; what it lent before is used until it expires.
         }
         finally {
-            this.asking.delete(owner);
+            this.asking.set(owner, (this.asking.get(owner) ?? 1) - 1);
         }
         if (this.askAgain.delete(owner) && !this.isDisposed) {
             this.clock.schedule(ASK_AGAIN_MS, () => void this.askOwner(owner));
@@ -371,5 +372,7 @@
     }
 };
 
+/** Requests to one owner that may be under way at a time; a returned slot does not wait for an earlier reply. */
+const MAX_UNDER_WAY = 3;
 /** Least time between two requests to the same owner, in ms. */
 const ASK_AGAIN_MS = 2;
