A request that cannot end in time is refused at once

Change: a waiting request is refused when its time is up less the mean request time; the reckoned wait is taken half as long again.

--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -17,6 +17,8 @@
 
 /** Most requests that wait for one target on this instance. */
 const MAX_QUEUE_LENGTH = 2000;
+/** Waits may turn out longer than reckoned by this factor; a late refusal is worse than an early one. */
+const WAIT_MARGIN = 1.5;
 /** When a caller may come back after it met a target without upstreams, in ms. */
 const NO_UPSTREAM_RETRY_MS = 1000;
 
@@ -144,8 +146,9 @@
                     waiting.reject(err);
                 }
             };
-            const untilDeadline = Math.max(0, job.deadline - this.parts.clock.monotonic());
-            cleanUp.push(this.parts.clock.schedule(untilDeadline, () => giveUp(deadlineError(job))));
+            // From then on it could not end in time any more, so it is told so at once and not at its deadline.
+            const untilHopeless = job.deadline - this.parts.clock.monotonic() - state.rate.knownMeanMs;
+            cleanUp.push(this.parts.clock.schedule(Math.max(0, untilHopeless), () => giveUp(deadlineError(job))));
             const onAbort = (): void => giveUp(abortError(job));
             signal?.addEventListener("abort", onAbort, { once: true });
             cleanUp.push({ dispose: () => signal?.removeEventListener("abort", onAbort) });
@@ -168,7 +171,7 @@
         const slots = eligible.reduce((total, upstream) => total + this.parts.slots.obtainable(upstream), 0);
         const ahead = state.queue.countAhead(job.account, job.weight, job.priority);
         const waitMs = state.rate.waitMs(ahead + 1, slots, now);
-        const isLate = waitMs + state.rate.meanMs > job.deadline - now;
+        const isLate = waitMs * WAIT_MARGIN + state.rate.meanMs > job.deadline - now;
         if (isLate || state.queue.length >= MAX_QUEUE_LENGTH) {
             throw overloadedError(job, waitMs);
         }
@@ -176,7 +179,7 @@
 
     /** A request that cannot end in time any more would only take the place of one that can. */
     private isHopeless(job: Job, state: TargetState): boolean {
-        return job.deadline - this.parts.clock.monotonic() < state.rate.meanMs;
+        return job.deadline - this.parts.clock.monotonic() < state.rate.knownMeanMs;
     }
 
     private pumpAll(upstream: Upstream): void {
--- a/src/common/routing/ServiceRate.ts
+++ b/src/common/routing/ServiceRate.ts
@@ -21,6 +21,11 @@
         return this.mean || DEFAULT_REQUEST_MS;
     }
 
+    /** Mean time of a request, or 0 while none has completed and nothing speaks against any deadline. */
+    public get knownMeanMs(): number {
+        return this.mean;
+    }
+
     public onCompleted(durationMs: number, now: number): void {
         this.mean += (durationMs - this.mean) * (this.mean === 0 ? 1 : MEAN_WEIGHT);
         this.perMs = this.decayed(now) + 1 / WINDOW_MS;
