A request that was sent before is not refused for the queue

Change: retries skip the early refusal and go first; repeatable work is given up 0.5 s after connections stop opening; the margin on the wait is 15 %; load reports are taken to be at most 1 s late instead of 2 (docs/API.md says so), so held-back slots return sooner.

--- a/src/common/routing/Attempts.ts
+++ b/src/common/routing/Attempts.ts
@@ -14,6 +14,8 @@
 import { type Assignment, type Dispatcher, type Job } from "./Dispatcher.ts";
 import { RetryBudget } from "./RetryBudget.ts";
 
+/** How long requests under way are waited for after a connection to their upstream did not open, in ms. */
+const GIVE_UP_MS = 500;
 /** Most attempts of one request. */
 const MAX_ATTEMPTS = 3;
 
@@ -215,6 +217,14 @@
         }
         else if (failure.step === CONNECT_STEP) {
             this.parts.registry.doubt(upstream);
+            this.clock.schedule(GIVE_UP_MS, () => this.giveUpDoubted(upstream));
+        }
+    }
+
+    /** Where no connection opens and no answer came since, requests under way are behind a partition too. */
+    private giveUpDoubted(upstream: Upstream): void {
+        if (upstream.doubtedUntil > 0) {
+            this.repeatable.get(upstream)?.forEach(controller => controller.abort());
         }
     }
 
--- a/src/common/routing/Dispatcher.ts
+++ b/src/common/routing/Dispatcher.ts
@@ -17,8 +17,10 @@
 
 /** Most requests that wait for one target on this instance. */
 const MAX_QUEUE_LENGTH = 2000;
+/** Priority of a request whose first attempt failed, above all that callers can ask for. */
+const RETRY_PRIORITY = 10;
 /** Waits may turn out longer than reckoned by this factor; a late refusal is worse than an early one. */
-const WAIT_MARGIN = 1.5;
+const WAIT_MARGIN = 1.15;
 /** When a caller may come back after it met a target without upstreams, in ms. */
 const NO_UPSTREAM_RETRY_MS = 1000;
 
@@ -139,7 +141,8 @@
                 state.waiting.delete(waiting);
                 finish(value);
             };
-            const waiting: Waiting = { ...job, resolve: settle(resolve), reject: settle(reject) };
+            const priority = job.excluded.size > 0 ? RETRY_PRIORITY : job.priority;
+            const waiting: Waiting = { ...job, priority, resolve: settle(resolve), reject: settle(reject) };
             const giveUp = (err: RouterError): void => {
                 if (state.queue.remove(waiting)) {
                     this.signalDemand(job.target, state);
@@ -164,7 +167,8 @@
         if (eligible.length === 0) {
             throw noUpstreamError(job);
         }
-        if (state.queue.length === 0) {
+        // One that was admitted before goes to the front of its account's queue and is not reckoned with again.
+        if (state.queue.length === 0 || job.excluded.size > 0) {
             return;
         }
         const now = this.parts.clock.monotonic();
--- a/src/common/slots/SlotTypes.ts
+++ b/src/common/slots/SlotTypes.ts
@@ -69,6 +69,6 @@
 /** Longest time for which a request may run, in ms; every deadline is cut to it. */
 export const MAX_REQUEST_MS = 120_000;
 /** How late a load report may describe an upstream, in ms. */
-export const REPORT_LAG_MS = 2000;
+export const REPORT_LAG_MS = 1000;
 /** How long a new owner waits until every loan of an earlier owner has expired, in ms. */
 export const OWNER_HANDOVER_MS = SLOT_LEASE_MS * (1 + 2 * MAX_CLOCK_DRIFT);
