One filter for other entries, one way to give up, no unused parts

Cause: reading the whole change once more.

Change: Membership.otherEntries serves UpstreamRelay and UsageShare. UsageShare sums only what the sheet limits. Attempts.giveUp serves lost and doubted upstreams. Unused Attempts.slots and SlotLender.limitOf are gone.

--- a/addons/fakes/Deployment.ts
+++ b/addons/fakes/Deployment.ts
@@ -225,7 +225,7 @@
 }
 
 /** Ports that nobody listens on. */
-const freePorts = async (count: number): Promise<number[]> => {
+export const freePorts = async (count: number): Promise<number[]> => {
     const servers = await Promise.all(
         Array.from({ length: count }, () =>
             new Promise<ReturnType<typeof createServer>>(resolve => {
--- a/src/cli/Serve.test.ts
+++ b/src/cli/Serve.test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { freePorts } from "../../addons/fakes/Deployment.ts";
 import { FakeEngine } from "../../addons/fakes/FakeEngine.ts";
 import { accountRow, allowModel, domainRow, sheetText, versionRow } from "../../addons/fakes/SheetText.ts";
 
@@ -17,20 +17,6 @@
     readonly exited: Promise<number | null>;
 }
 
-const freePorts = async (count: number): Promise<number[]> => {
-    const servers = await Promise.all(
-        [...Array(count).keys()].map(() =>
-            new Promise<ReturnType<typeof createServer>>(resolve => {
-                const server = createServer();
-                server.listen(0, "127.0.0.1", () => resolve(server));
-            })
-        ),
-    );
-    const ports = servers.map(server => (server.address() as { port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-};
-
 const serve = (config: string): Served => {
     const child = spawn(process.execPath, ["src/cli/Main.ts", "serve", "--config", config], {
         stdio: ["ignore", "ignore", "pipe"],
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -88,6 +88,13 @@
         return [this.own, ...others.filter(member => member.state === "alive" || member.state === "suspect")];
     }
 
+    /** The other entry instances of this region that are not known to be gone; soft state is shared with them. */
+    public otherEntries(): Member[] {
+        return this.alive().filter(member =>
+            member.id !== this.own.id && member.region === this.own.region && member.roles.includes("entry")
+        );
+    }
+
     /** Every instance that was met, this one included. */
     public all(): Member[] {
         return [this.own, ...[...this.known.values()].map(known => known.member)];
--- a/src/common/routing/Attempts.ts
+++ b/src/common/routing/Attempts.ts
@@ -6,7 +6,6 @@
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type VersionOutcome } from "../policy/RolloutWatch.ts";
 import { type Admission, type Suspects } from "../policy/Suspects.ts";
-import { type SlotBook } from "../slots/SlotBook.ts";
 import { type Clock } from "../time/Clock.ts";
 import { type Target } from "../upstreams/Upstream.ts";
 import { type Upstream, type UpstreamLoss, type UpstreamRegistry } from "../upstreams/UpstreamRegistry.ts";
@@ -84,7 +83,6 @@
     readonly clock: Clock;
     readonly registry: UpstreamRegistry;
     readonly relay: UpstreamRelay;
-    readonly slots: SlotBook;
     readonly dispatcher: Dispatcher;
     readonly suspects: Suspects;
 }
@@ -187,10 +185,14 @@
     /** A leaving upstream finishes what it runs; on one that fell silent nothing is waited for any more. */
     private onLost({ upstream, reason }: UpstreamLoss): void {
         if (reason !== "left") {
-            this.repeatable.get(upstream)?.forEach(controller => controller.abort());
+            this.giveUp(upstream);
         }
     }
 
+    private giveUp(upstream: Upstream): void {
+        this.repeatable.get(upstream)?.forEach(controller => controller.abort());
+    }
+
     private async admit(ctx: AttemptRequest, work: Work, mayHaveRun: boolean): Promise<Admission> {
         try {
             return await this.suspects.admit(work.fingerprint, ctx.id, work.target, ctx.deadline);
@@ -224,7 +226,7 @@
     /** Where no connection opens and no answer came since, requests under way are behind a partition too. */
     private giveUpDoubted(upstream: Upstream): void {
         if (upstream.doubtedUntil > 0) {
-            this.repeatable.get(upstream)?.forEach(controller => controller.abort());
+            this.giveUp(upstream);
         }
     }
 
--- a/src/common/routing/UsageShare.ts
+++ b/src/common/routing/UsageShare.ts
@@ -72,16 +72,28 @@
 
     /** Throws `tooManyRequests` when the account is at a limit of the sheet, over all instances. */
     public requireWithinLimits(account: AccountLimits): void {
-        const inFlight = this.inFlightOf(account.name);
-        if (account.max_in_flight !== undefined && inFlight >= account.max_in_flight) {
-            const message =
-                `account "${account.name}" has ${inFlight} requests in flight, of at most ${account.max_in_flight}`;
+        this.requirePlace(account.name, account.max_in_flight);
+        this.requireTokens(account.name, account.tokens_per_minute);
+    }
+
+    private requirePlace(account: string, limit: number | undefined): void {
+        if (limit === undefined) {
+            return;
+        }
+        const inFlight = this.inFlightOf(account);
+        if (inFlight >= limit) {
+            const message = `account "${account}" has ${inFlight} requests in flight, of at most ${limit}`;
             throw limitError(message, IN_FLIGHT_RETRY_MS);
         }
-        const tokens = this.tokens.sum(account.name);
-        if (account.tokens_per_minute !== undefined && tokens >= account.tokens_per_minute) {
-            const message =
-                `account "${account.name}" used ${tokens} tokens in a minute, of at most ${account.tokens_per_minute}`;
+    }
+
+    private requireTokens(account: string, limit: number | undefined): void {
+        if (limit === undefined) {
+            return;
+        }
+        const tokens = this.tokens.sum(account);
+        if (tokens >= limit) {
+            const message = `account "${account}" used ${tokens} tokens in a minute, of at most ${limit}`;
             throw limitError(message, this.tokens.stepMs);
         }
     }
@@ -126,13 +138,8 @@
             return;
         }
         this.dropIdle();
-        const { self } = this.membership;
-        for (const member of this.membership.alive()) {
-            if (member.id !== self.id && member.region === self.region && member.roles.includes("entry")) {
-                this.network.call(member.id, "shareUsage", { usages, inFlight }, CALL_TIMEOUT_MS).catch(() =>
-                    undefined
-                );
-            }
+        for (const member of this.membership.otherEntries()) {
+            this.network.call(member.id, "shareUsage", { usages, inFlight }, CALL_TIMEOUT_MS).catch(() => undefined);
         }
     }
 
--- a/src/common/slots/SlotLender.ts
+++ b/src/common/slots/SlotLender.ts
@@ -110,11 +110,6 @@
         return grants;
     }
 
-    /** Requests that the upstream bears now, as far as this owner knows. */
-    public limitOf(upstreamId: string): number | undefined {
-        return this.books.get(upstreamId)?.ramp.limit;
-    }
-
     /** Drops the loans of a borrower whose process is known to have ended; its connections ended with it. */
     public forgetBorrower(borrower: string): void {
         for (const book of this.books.values()) {
--- a/src/common/upstreams/UpstreamRelay.ts
+++ b/src/common/upstreams/UpstreamRelay.ts
@@ -68,9 +68,7 @@
 
     /** Learns the upstreams of a peer, so that an instance which has just started need not wait for heartbeats. */
     public async catchUp(): Promise<void> {
-        const { self } = this.membership;
-        const peers = this.membership.alive().filter(member => member.id !== self.id && member.region === self.region);
-        for (const member of peers.filter(item => item.roles.includes("entry"))) {
+        for (const member of this.membership.otherEntries()) {
             try {
                 const reply = await this.network.call(member.id, "fetchUpstreams", {}, CALL_TIMEOUT_MS);
                 this.onAnnounced(reply.announcements, []);
@@ -196,11 +194,8 @@
 
     /** A peer that misses a message learns the same from the next heartbeat. */
     private tellAll(send: (peer: string) => Promise<unknown>): void {
-        const { self } = this.membership;
-        for (const member of this.membership.alive()) {
-            if (member.id !== self.id && member.region === self.region && member.roles.includes("entry")) {
-                send(member.id).catch(() => undefined);
-            }
+        for (const member of this.membership.otherEntries()) {
+            send(member.id).catch(() => undefined);
         }
     }
 }
