--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -4,6 +4,7 @@
  */
 import { EventSplitter } from "../../common/gateway/EventSplitter.ts";
 import { type AnswerHead, type ExchangeCodec } from "../../common/gateway/Exchange.ts";
+import { type ModelChoice } from "../../common/gateway/ModelChoice.ts";
 import { type UpstreamBoard } from "../../common/gateway/UpstreamBoard.ts";
 import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { connectionsOf, type Selection } from "../../common/gateway/UpstreamSelector.ts";
@@ -33,6 +34,8 @@
     readonly mayHaveRun: boolean;
     /** Whether the upstream itself answered that it failed. */
     readonly isUpstreamFailure: boolean;
+    /** Index of the model that should answer instead, when the attempt's was not sure enough. */
+    readonly nextModel?: number;
 }
 
 /** What attempts work with. */
@@ -43,6 +46,9 @@
     readonly board: UpstreamBoard;
     readonly directory: UpstreamDirectory;
     readonly entryCount: () => number;
+    readonly models: ModelChoice;
+    /** Takes one repeat from the budget of a service; false when none is left. */
+    readonly spendRepeat: (service: string) => boolean;
     /** The upstream ended the connection while the request ran. */
     readonly onBroken: (call: Call, selection: Selection) => void;
     /** The first part of a good answer has come. */
@@ -173,9 +179,31 @@
             return this.failed("the answer belongs to no request of ours", true, false, false);
         }
         const isStream = this.call.route.kind === "stream" && isSuccess(head.status);
+        const nextModel = isStream ? this.findBetterModel(head) : undefined;
+        if (nextModel !== undefined) {
+            this.exchange.abort("a larger model answers");
+            parts.board.noteSuccess(stats);
+            const message = `model ${this.state.model} has confidence ${head.confidence}`;
+            return { message, wasSent: true, mayHaveRun: true, isUpstreamFailure: false, nextModel };
+        }
         return isStream ? this.relayStream(head) : this.relayWhole(head);
     }
 
+    /** The model that should answer instead, before the caller has received anything. */
+    private findBetterModel(head: AnswerHead): number | undefined {
+        const { parts, call, state } = this;
+        const now = parts.clock.monotonic();
+        const latencyMs = now - this.sentAt;
+        parts.models.note(call.route, state.model, latencyMs);
+        const hasRuns = state.runs + 1 < call.route.maxAttempts;
+        if (call.reply.hasBegun || call.req.resumeAfter !== undefined || !hasRuns) {
+            return undefined;
+        }
+        const doubt = { route: call.route, model: state.model, confidence: head.confidence, latencyMs };
+        const next = parts.models.escalate({ ...doubt, elapsedMs: now - call.arrivedAt });
+        return next !== undefined && parts.spendRepeat(call.service.name) ? next : undefined;
+    }
+
     private notRun(head: AnswerHead): AttemptFailure {
         const { parts, selection: { stats, record } } = this;
         const isMisplaced = head.status === 421;
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -93,6 +93,7 @@
             tried: new Set(),
             runs: 0,
             sends: 0,
+            model: 0,
             splitter: undefined,
             failedAnswer: undefined,
             lastFailure: "",
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -6,6 +6,7 @@
 import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
 import { type Fleet } from "../../common/gateway/FleetState.ts";
 import { type GatewayConfig } from "../../common/gateway/GatewayConfig.ts";
+import { ModelChoice } from "../../common/gateway/ModelChoice.ts";
 import { Outcomes } from "../../common/gateway/Outcomes.ts";
 import { RepeatBudget } from "../../common/gateway/RepeatBudget.ts";
 import { RouteTable } from "../../common/gateway/RouteTable.ts";
@@ -100,7 +101,7 @@
             clock,
             codec,
             selector,
-            attempts: this.createAttempts(),
+            attempts: this.createAttempts(budget),
             budget,
             sessions: new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND),
             outcomes: this.outcomes,
@@ -183,7 +184,7 @@
         });
     }
 
-    private createAttempts(): Attempts {
+    private createAttempts(budget: RepeatBudget): Attempts {
         const { clock, codec } = this.parts;
         return this.register(
             new Attempts({
@@ -193,6 +194,8 @@
                 board: this.board,
                 directory: this.directory,
                 entryCount: () => this.follower.entryCount,
+                models: new ModelChoice(),
+                spendRepeat: service => budget.spend(service),
                 onBroken: call => this.noteCrash(call.fingerprint()),
                 onAnswer: (call, { record }, latencyMs) =>
                     this.outcomes.add(call.service.name, record.version, call.route.name, false, latencyMs),
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -71,6 +71,8 @@
     runs: number;
     /** Requests that reached an upstream. */
     sends: number;
+    /** Index among the route's models. */
+    model: number;
     /** Whether a stream has begun. */
     splitter: EventSplitter | undefined;
     /** The newest answer with which an upstream reported a failure. */
@@ -147,7 +149,7 @@
             upstream: selection.record.id,
             deadlineMs: Math.max(1, Math.floor(this.leftMs(call))),
             account: account?.name,
-            model: route.models.at(-1),
+            model: route.models.at(state.model),
             priority: service.engineSlots === undefined ? undefined : account?.priority ?? route.priority,
             resumeAfter: state.splitter?.lastId ?? req.resumeAfter,
         });
@@ -160,6 +162,12 @@
         selection: Selection,
         failure: AttemptFailure,
     ): CallResult | undefined {
+        if (failure.nextModel !== undefined) {
+            state.model = failure.nextModel;
+            state.runs++;
+            state.tried.delete(selection.name);
+            return undefined;
+        }
         state.lastFailure = failure.message;
         state.runs += failure.mayHaveRun ? 1 : 0;
         state.sends += failure.wasSent ? 1 : 0;
