--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,7 +22,7 @@
 const inward = (patterns, message) => ["error", { patterns: [{ group: patterns, message }] }];
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     ...tseslint.configs.recommended,
     {
         rules: {
@@ -45,6 +45,7 @@
                 "**/node/**",
                 "**/cli/**",
                 "**/addons/**",
+                "**/platform/**",
                 "undici",
                 "moleculer*",
             ], "src/common runs on any host"),
@@ -55,8 +56,8 @@
         ignores: ["**/*.test.ts"],
         rules: {
             "no-restricted-imports": inward(
-                ["**/cli/**", "**/addons/**"],
-                "src/node is imported by src/cli and addons, never the other way",
+                ["**/cli/**", "**/addons/**", "**/platform/**"],
+                "src/node is imported by src/cli, platform and addons, never the other way",
             ),
         },
     },
--- /dev/null
+++ b/src/common/gateway/Decisions.test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../time/ManualClock.ts";
+import { ColdLimiter } from "./ColdLimiter.ts";
+import { CrashLedger } from "./CrashLedger.ts";
+import { emptyFleet, type Fleet, type Rollout } from "./FleetState.ts";
+import { type PlacementCandidate, placeRequest } from "./Placement.ts";
+import { RepeatBudget } from "./RepeatBudget.ts";
+import { versionRule } from "./VersionRule.ts";
+import { nextVoters } from "./VoterPlan.ts";
+
+const rollout: Rollout = {
+    service: "s",
+    target: "v2",
+    durationMs: 20_000,
+    orderedAt: 0,
+    state: "running",
+    share: 0.1,
+};
+
+const fleetWith = (change: Partial<Rollout>): Fleet => ({ ...emptyFleet, rollouts: [{ ...rollout, ...change }] });
+
+test("VersionRule: a session keeps its version in the first part and moves on with all others", () => {
+    const keys = [...Array(1000).keys()].map(index => `session-${index}`);
+    const drawn = keys.filter(key => versionRule(fleetWith({}), "s", key, undefined).isPreferred("v2"));
+    assert.ok(drawn.length > 50 && drawn.length < 150, `${drawn.length} of 1000`);
+    const key = drawn[0] ?? "";
+    assert.equal(versionRule(fleetWith({}), "s", key, "v1").isAllowed("v2"), false);
+    assert.equal(versionRule(fleetWith({ share: 1 }), "s", key, "v1").isPreferred("v2"), true);
+    assert.equal(versionRule(fleetWith({}), "s", "other", "v2").isPreferred("v2"), true);
+});
+
+test("VersionRule: a rejected version gets nothing, a completed one everything", () => {
+    const back = versionRule(fleetWith({ state: "rolledBack", share: 0 }), "s", "k", "v2");
+    assert.deepEqual([back.isAllowed("v1"), back.isAllowed("v2")], [true, false]);
+    const done = versionRule(fleetWith({ state: "completed", share: 1 }), "s", "k", "v1");
+    assert.deepEqual([done.isAllowed("v1"), done.isAllowed("v2")], [false, true]);
+    assert.equal(versionRule(fleetWith({ share: 0 }), "s", "k", undefined).isAllowed("v2"), false);
+});
+
+test("RepeatBudget: all instances together stay below the bound in every window", () => {
+    const clock = new ManualClock(0);
+    const bounds = { ratio: 0.9, slack: 56, windowMs: 10_000 };
+    const entries = 8;
+    const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, bounds, () => entries));
+    const spentAt: number[] = [];
+    const requestsPerSecond = 5;
+    for (let second = 0; second < 40; second++) {
+        for (const budget of budgets) {
+            for (let request = 0; request < requestsPerSecond; request++) {
+                budget.earn("s");
+                while (budget.spend("s")) {
+                    spentAt.push(second);
+                }
+            }
+        }
+        clock.advance(1000);
+    }
+    for (let from = 0; from < 30; from++) {
+        const spent = spentAt.filter(at => at >= from && at < from + 10).length;
+        const requests = requestsPerSecond * entries * 10;
+        assert.ok(spent <= requests * bounds.ratio + bounds.slack, `${spent} repeats from second ${from}`);
+    }
+});
+
+test("ColdLimiter: all instances together send a cold upstream less than it bears in every second", () => {
+    const clock = new ManualClock(0);
+    const rate = { perSecond: 12, excess: 1.5, slack: 5 };
+    for (const entries of [1, 3, 8, 20]) {
+        const limiters = Array.from({ length: entries }, () => new ColdLimiter(clock));
+        const sentAt: number[] = [];
+        for (let step = 0; step < 400; step++) {
+            for (const limiter of limiters.filter(item => item.mayStart("u", rate, entries))) {
+                limiter.noteStart("u");
+                sentAt.push(clock.monotonic());
+            }
+            clock.advance(10);
+        }
+        for (const from of sentAt) {
+            const inSecond = sentAt.filter(at => at >= from && at < from + 1000).length;
+            assert.ok(inSecond <= rate.perSecond * rate.excess + rate.slack, `${inSecond} with ${entries} instances`);
+        }
+    }
+});
+
+test("CrashLedger: a request that was part of two crashes is quarantined, whoever counted them", () => {
+    const clock = new ManualClock(0);
+    const ledger = new CrashLedger(clock);
+    ledger.take("a", [{ fingerprint: "f", count: 1 }, { fingerprint: "g", count: 1 }]);
+    ledger.take("a", [{ fingerprint: "f", count: 1 }]);
+    assert.equal(ledger.quarantined().size, 0);
+    ledger.take("b", [{ fingerprint: "f", count: 1 }]);
+    assert.deepEqual([...ledger.quarantined()], ["f"]);
+    clock.advance(121_000);
+    ledger.take("b", []);
+    assert.equal(ledger.quarantined().size, 0);
+});
+
+test("VoterPlan: voters grow one at a time to an odd number, at most five", () => {
+    assert.equal(nextVoters(["a", "b", "c"], ["a", "b", "c", "d"]), undefined);
+    assert.deepEqual(nextVoters(["a", "b", "c"], ["a", "b", "c", "d", "e"]), ["a", "b", "c", "d"]);
+    assert.deepEqual(nextVoters(["a", "b", "c", "d"], ["a", "b", "c", "d", "e"]), ["a", "b", "c", "d", "e"]);
+    assert.equal(nextVoters(["a", "b", "c", "d", "e"], ["a", "b", "c", "d", "e", "f", "g"]), undefined);
+});
+
+const candidate = (id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
+    id,
+    domain: "here",
+    slots: 64,
+    running: 0,
+    waiting: 0,
+    promptTokens: 0,
+    failureRate: 0,
+    isStale: false,
+    ...change,
+});
+
+test("Placement: requests that share a prompt meet at one engine until it is much busier than the others", () => {
+    const affinity = { key: "part", tokens: 5000 };
+    const req = { domain: "here", affinity, isEngine: true };
+    const ids = ["a", "b", "c", "d"];
+    const first = placeRequest(req, ids.map(id => candidate(id)))?.id;
+    const again = placeRequest(req, ids.map(id => candidate(id, id === first ? { running: 4 } : {})))?.id;
+    assert.equal(again, first);
+    const busy = placeRequest(req, ids.map(id => candidate(id, id === first ? { running: 60 } : {})))?.id;
+    assert.notEqual(busy, first);
+});
+
+test("Placement: failing, silent and far upstreams come last", () => {
+    const req = { domain: "here", affinity: undefined, isEngine: false };
+    const place = (...items: PlacementCandidate[]): string | undefined => placeRequest(req, items)?.id;
+    assert.equal(place(candidate("a", { failureRate: 0.5 }), candidate("b", { domain: "there" })), "b");
+    assert.equal(place(candidate("a", { isStale: true }), candidate("b", { running: 10, slots: 64 })), "b");
+    assert.equal(place(candidate("a", { domain: "there" }), candidate("b")), "b");
+    assert.equal(place(candidate("a", { running: 8, slots: 6 }), candidate("b", { domain: "there" })), "b");
+});
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -109,7 +109,9 @@
 
     /** Whether a control instance has quarantined a request. */
     public isQuarantined(fingerprint: () => string): boolean {
-        return [...this.watched.values()].some(peer => peer.quarantined.size > 0 && peer.quarantined.has(fingerprint()));
+        return [...this.watched.values()].some(peer =>
+            peer.quarantined.size > 0 && peer.quarantined.has(fingerprint())
+        );
     }
 
     public start(): void {
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -2,8 +2,8 @@
  * The side of a control instance that followers watch: it holds a call until there is news that can't wait, or
  * until enough time has passed to batch the rest.
  */
-import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { Signal } from "../control/Signal.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
 import { type Clock } from "../time/Clock.ts";
 import { CrashLedger } from "./CrashLedger.ts";
--- /dev/null
+++ b/src/common/gateway/FleetState.test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { emptyFleet, FleetState, latestRollout } from "./FleetState.ts";
+
+const order = { kind: "startRollout", service: "s", target: "v2", durationMs: 1000, orderedAt: 5 };
+
+test("FleetState: only a higher version replaces the declared text", () => {
+    const state = new FleetState();
+    state.apply({ kind: "declare", version: 3, text: "three" }, 1);
+    state.apply({ kind: "declare", version: 3, text: "other three" }, 2);
+    state.apply({ kind: "declare", version: 2, text: "two" }, 3);
+    assert.deepEqual([state.fleet.configText, state.fleet.revision], ["three", 1]);
+    state.apply({ kind: "declare", version: 7, text: "seven" }, 4);
+    assert.deepEqual([state.fleet.configText, state.fleet.revision], ["seven", 4]);
+});
+
+test("FleetState: a repeated order changes nothing, and a verdict is final", () => {
+    const state = new FleetState();
+    state.apply(order, 1);
+    state.apply(order, 2);
+    assert.equal(state.fleet.revision, 1);
+    state.apply({ kind: "moveRollout", service: "s", target: "v2", state: "rolledBack", share: 0 }, 3);
+    state.apply({ kind: "moveRollout", service: "s", target: "v2", state: "completed", share: 1 }, 4);
+    state.apply(order, 5);
+    assert.equal(latestRollout(state.fleet, "s")?.state, "rolledBack");
+    state.apply({ kind: "drainDomain", domain: "d" }, 6);
+    state.apply({ kind: "drainDomain", domain: "d" }, 7);
+    assert.deepEqual(state.fleet.drainedDomains, ["d"]);
+    state.apply({ kind: "restoreDomain", domain: "d" }, 8);
+    assert.deepEqual(state.fleet.drainedDomains, []);
+});
+
+test("FleetState: a snapshot restores the same state, and unknown commands change nothing", () => {
+    const state = new FleetState();
+    state.apply({ kind: "declare", version: 1, text: "one" }, 1);
+    state.apply({ kind: "voters", voters: [] }, 2);
+    const other = new FleetState();
+    other.restore(state.snapshot());
+    assert.deepEqual(other.fleet, state.fleet);
+    other.restore({});
+    assert.deepEqual(other.fleet, emptyFleet);
+});
--- /dev/null
+++ b/src/common/gateway/UpstreamDirectory.test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../time/ManualClock.ts";
+import { UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { type UpstreamRecord } from "./UpstreamRecord.ts";
+
+const record = (change: Partial<UpstreamRecord>): UpstreamRecord => ({
+    id: "u1",
+    start: 100,
+    seq: 1,
+    service: "s",
+    host: "10.0.0.1",
+    port: 80,
+    domain: "d",
+    version: "v1",
+    slots: 4,
+    state: "ready",
+    coldMs: 0,
+    ...change,
+});
+
+const create = (): { clock: ManualClock; directory: UpstreamDirectory; } => {
+    const clock = new ManualClock(1000);
+    return { clock, directory: new UpstreamDirectory(clock) };
+};
+
+test("UpstreamDirectory: a late statement changes nothing, and a leaving upstream stays so", () => {
+    const { directory } = create();
+    assert.equal(directory.take(record({ seq: 5 }), 0), true);
+    assert.equal(directory.take(record({ seq: 4 }), 0), false);
+    assert.equal(directory.take(record({ seq: 6, state: "draining" }), 0), true);
+    assert.equal(directory.take(record({ seq: 7 }), 0), false);
+    assert.equal(directory.get("u1")?.record.state, "draining");
+    directory.leave("u1", undefined);
+    assert.equal(directory.take(record({ seq: 8, state: "draining" }), 0), false);
+    assert.equal(directory.get("u1")?.record.state, "gone");
+    assert.equal(directory.take(record({ start: 200, seq: 1 }), 0), true);
+    assert.equal(directory.get("u1")?.record.state, "ready");
+});
+
+test("UpstreamDirectory: the address of an ended process belongs to the later one", () => {
+    const { directory } = create();
+    directory.take(record({}), 0);
+    assert.equal(directory.take(record({ id: "u2", start: 300, service: "other" }), 0), true);
+    assert.equal(directory.get("u1")?.record.state, "gone");
+    // A statement of the first process was held up by a partition.
+    assert.equal(directory.take(record({ seq: 9 }), 0), false);
+    assert.equal(directory.take(record({ id: "u3", start: 200 }), 0), false);
+});
+
+test("UpstreamDirectory: a word of leaving from a process that is not known holds for it", () => {
+    const { directory } = create();
+    directory.leave("u9", 100);
+    assert.equal(directory.take(record({ id: "u9" }), 0), false);
+    directory.leave("u9", 50);
+    assert.equal(directory.take(record({ id: "u9", start: 150 }), 0), true);
+    directory.leave("u9", 100);
+    assert.equal(directory.get("u9")?.record.state, "ready");
+});
+
+test("UpstreamDirectory: followers get what changed since, arrivals and departures as urgent", () => {
+    const { clock, directory } = create();
+    const urgent: boolean[] = [];
+    directory.onChanged(change => urgent.push(change.isUrgent));
+    directory.take(record({}), 0);
+    const { version } = directory;
+    directory.take(record({ seq: 2 }), 40);
+    directory.take(record({ seq: 3, coldMs: 500 }), 0);
+    directory.take(record({ seq: 4, state: "draining" }), 0);
+    assert.deepEqual(urgent, [true, false, true, true]);
+    assert.equal(directory.changedSince(version).length, 1);
+    assert.equal(directory.changedSince(directory.version).length, 0);
+    clock.advance(31_000);
+    directory.forgetOld();
+    assert.equal(directory.get("u1"), undefined);
+});
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -126,5 +126,4 @@
     }
 }
 
-const isColdAgain = (record: UpstreamRecord, known: UpstreamRecord): boolean =>
-    record.coldMs > 0 && known.coldMs <= 0;
+const isColdAgain = (record: UpstreamRecord, known: UpstreamRecord): boolean => record.coldMs > 0 && known.coldMs <= 0;
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -8,7 +8,7 @@
 import { type Fleet } from "./FleetState.ts";
 import { type Service } from "./GatewayConfig.ts";
 import { type PlacementCandidate, placeRequest } from "./Placement.ts";
-import { UpstreamBoard, type UpstreamStats } from "./UpstreamBoard.ts";
+import { type UpstreamBoard, type UpstreamStats } from "./UpstreamBoard.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 import { type HeardRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
 import { type VersionRule } from "./VersionRule.ts";
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -247,4 +247,3 @@
     }
     return command;
 };
-
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -96,7 +96,11 @@
         );
         const isQuarantined = (fingerprint: () => string): boolean => this.follower.isQuarantined(fingerprint);
         const { retry_ratio: ratio, retry_slack: slack, retry_window_s: windowS } = settings.bounds;
-        const budget = new RepeatBudget(clock, { ratio, slack, windowMs: windowS * MS_PER_SECOND }, () => this.follower.entryCount);
+        const budget = new RepeatBudget(
+            clock,
+            { ratio, slack, windowMs: windowS * MS_PER_SECOND },
+            () => this.follower.entryCount,
+        );
         const router = new RequestRouter({
             clock,
             codec,
@@ -273,7 +277,10 @@
         }
     }
 
-    private report(): { outcomes: ReturnType<Outcomes["select"]>; crashes: { fingerprint: string; count: number; }[]; } {
+    private report(): {
+        outcomes: ReturnType<Outcomes["select"]>;
+        crashes: { fingerprint: string; count: number; }[];
+    } {
         const running = this.follower.fleet.rollouts.filter(rollout => rollout.state === "running");
         const crashes = [...this.crashes].map(([fingerprint, count]) => ({ fingerprint, count }));
         return {
@@ -282,4 +289,3 @@
         };
     }
 }
-
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -11,8 +11,8 @@
 import { HttpDoor, type HttpHandler } from "../http/HttpDoor.ts";
 import { type Log } from "../log/Log.ts";
 import { TcpNetwork } from "../peers/TcpNetwork.ts";
-import { makeFolder } from "../storage/Files.ts";
 import { FileLogStore } from "../storage/FileLogStore.ts";
+import { makeFolder } from "../storage/Files.ts";
 import { SuspendAwareClock } from "../time/SuspendAwareClock.ts";
 import { ControlRole } from "./ControlRole.ts";
 import { EntryRole } from "./EntryRole.ts";
@@ -184,8 +184,9 @@
         if (doors.metrics === undefined) {
             return;
         }
-        const handler: HttpHandler = async (_, res) => {
+        const handler: HttpHandler = async (req, res) => {
             const text = await metrics.text();
+            req.resume();
             res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
         };
         this.lifecycle.add(
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -41,7 +41,9 @@
     }),
     bounds: z.object({
         stop_grace_s: number.min(0).default(8).describe("Time between SIGTERM and SIGKILL, in s."),
-        revoke_ms: number.min(0).default(5000).describe("Time after which a removed key must not work anywhere, in ms."),
+        revoke_ms: number.min(0).default(5000).describe(
+            "Time after which a removed key must not work anywhere, in ms.",
+        ),
         session_s: number.min(0).default(5).describe("Longest pause within a session, in s."),
         cold_excess: number.min(0).default(1.5).describe("Factor on the rate that a cold upstream bears."),
         cold_slack: number.min(0).default(5).describe("Requests a second beyond that."),
--- a/src/node/gateway/RequestLog.ts
+++ b/src/node/gateway/RequestLog.ts
@@ -72,7 +72,11 @@
     }
 
     public fault(req: CallerRequest, err: Error): void {
-        this.log.error("A request met a fault of this program.", { req: req.id, reason: err.message, stack: err.stack });
+        this.log.error("A request met a fault of this program.", {
+            req: req.id,
+            reason: err.message,
+            stack: err.stack,
+        });
     }
 
     private mayWrite(isServed: boolean): boolean {
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -130,7 +130,8 @@
                 this.isEnded = true;
                 this.signal();
             },
-            onResponseError: (_, err) => {
+            onResponseError: (controller, err) => {
+                this.controller = controller;
                 const { code = "" } = err as { code?: string; };
                 this.fail(err.message === "" ? code : err.message, brokenCodes.has(code));
             },
--- a/src/node/log/Log.ts
+++ b/src/node/log/Log.ts
@@ -16,12 +16,22 @@
     setLevel(level: bunyan.LogLevelString): void;
 }
 
+/** Takes the lines of a log. */
+export interface LineWriter {
+    write(line: string): unknown;
+}
+
 /** Level of a log line. */
 export type LogLevel = bunyan.LogLevelString;
 
 /** The log of an instance, written to standard error as JSON lines. */
-export const createLog = (instance: string, level: LogLevel, stream: NodeJS.WritableStream = process.stderr): Log => {
-    const logger = bunyan.createLogger({ name: "skylarktide", instance, level, stream });
+export const createLog = (instance: string, level: LogLevel, stream: LineWriter = process.stderr): Log => {
+    const logger = bunyan.createLogger({
+        name: "skylarktide",
+        instance,
+        level,
+        stream: stream as NodeJS.WritableStream,
+    });
     return partLog(logger, "instance");
 };
 
--- a/src/node/log/ProcessLog.ts
+++ b/src/node/log/ProcessLog.ts
@@ -2,9 +2,8 @@
  * The log of a process on standard output that never waits for its reader: lines that do not fit into a bounded
  * buffer are dropped and counted.
  */
-import { Socket } from "node:net";
 import { createWriteStream, fstatSync } from "node:fs";
-import { Writable } from "node:stream";
+import { Socket } from "node:net";
 import { createLog, type Log, type LogLevel } from "./Log.ts";
 
 /** Lines that wait for the reader, in bytes. */
@@ -44,14 +43,7 @@
 /** Creates the log of this process. */
 export const createProcessLog = (instance: string, level: LogLevel): Log => {
     const lines = new BoundedLines(openStdout());
-    const stream = new Writable({
-        decodeStrings: false,
-        write: (line: string, _, done) => {
-            lines.write(line);
-            done();
-        },
-    });
-    return createLog(instance, level, stream);
+    return createLog(instance, level, { write: line => lines.write(line) });
 };
 
 /** Node writes to a pipe synchronously through `process.stdout`; a socket of our own does not. */
--- a/tools/Build.ts
+++ b/tools/Build.ts
@@ -39,7 +39,10 @@
     logLevel: "error",
 });
 const seaConfig = join(OUT, "sea.json");
-writeFileSync(seaConfig, JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true, useCodeCache: true }));
+writeFileSync(
+    seaConfig,
+    JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true, useCodeCache: true }),
+);
 execFileSync(process.execPath, ["--experimental-sea-config", seaConfig], { stdio: "pipe" });
 copyFileSync(process.execPath, BINARY);
 chmodSync(BINARY, 0o755);
