A request counts as a crasher only when its upstream's process ended

Cause: every broken connection counted, so a repeated request was refused after two lost answers. Change: broken requests wait until the upstream is found unreachable or starts again.

--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -3,6 +3,7 @@
 import { ManualClock } from "../time/ManualClock.ts";
 import { ColdLimiter } from "./ColdLimiter.ts";
 import { CrashLedger } from "./CrashLedger.ts";
+import { CrashSuspects } from "./CrashSuspects.ts";
 import { emptyFleet, type Fleet, type Rollout } from "./FleetState.ts";
 import { type PlacementCandidate, placeRequest } from "./Placement.ts";
 import { RepeatBudget } from "./RepeatBudget.ts";
@@ -96,6 +97,21 @@
     assert.equal(ledger.quarantined().size, 0);
 });
 
+test("CrashSuspects: a broken connection counts only when the upstream's process ended with it", () => {
+    const clock = new ManualClock(0);
+    const suspects = new CrashSuspects(clock);
+    suspects.noteBroken("u 1", "poison");
+    suspects.noteBroken("v 1", "innocent");
+    assert.deepEqual(suspects.crashes, []);
+    clock.advance(4000);
+    suspects.noteEnded("u 1");
+    suspects.noteEnded("u 1");
+    assert.deepEqual(suspects.crashes, [{ fingerprint: "poison", count: 1 }]);
+    clock.advance(15_001);
+    suspects.noteEnded("v 1");
+    assert.equal(suspects.crashes.length, 1);
+});
+
 test("VoterPlan: voters grow one at a time to an odd number, at most five", () => {
     assert.equal(nextVoters(["a", "b", "c"], ["a", "b", "c", "d"]), undefined);
     assert.deepEqual(nextVoters(["a", "b", "c"], ["a", "b", "c", "d", "e"]), ["a", "b", "c", "d"]);
@@ -117,7 +133,7 @@
 
 test("Placement: requests that share a prompt meet at one engine until it is much busier than the others", () => {
     const affinity = { key: "part", tokens: 5000 };
-    const req = { domain: "here", affinity, isEngine: true };
+    const req = { domain: "here", affinity, isEngine: true, key: "r" };
     const ids = ["a", "b", "c", "d"];
     const first = placeRequest(req, ids.map(id => candidate(id)))?.id;
     const again = placeRequest(req, ids.map(id => candidate(id, id === first ? { running: 4 } : {})))?.id;
@@ -127,7 +143,7 @@
 });
 
 test("Placement: failing, silent and far upstreams come last", () => {
-    const req = { domain: "here", affinity: undefined, isEngine: false };
+    const req = { domain: "here", affinity: undefined, isEngine: false, key: "r" };
     const place = (...items: PlacementCandidate[]): string | undefined => placeRequest(req, items)?.id;
     assert.equal(place(candidate("a", { failureRate: 0.5 }), candidate("b", { domain: "there" })), "b");
     assert.equal(place(candidate("a", { isStale: true }), candidate("b", { running: 10, slots: 64 })), "b");
--- a/src/common/gateway/Placement.ts
+++ b/src/common/gateway/Placement.ts
@@ -2,7 +2,7 @@
  * Where a request runs: which upstreams may take it, and which of those is expected to answer first. Decisions only;
  * what is known of the upstreams comes in as data.
  */
-import { rendezvous } from "../routing/Hash.ts";
+import { hashFraction, rendezvous } from "../routing/Hash.ts";
 
 /** Cost of leaving the failure domain, in ms; bytes between domains are paid for. */
 const OTHER_DOMAIN_MS = 25;
@@ -11,11 +11,13 @@
 /** Expected delay by each request beyond a plain service's slots, in units of its objective. */
 const QUEUE_SHARE_MS = 200;
 /** Delay that a certain failure counts as, in ms. */
-const FAILURE_MS = 3000;
+const FAILURE_MS = 1000;
 /** Delay that counts for an upstream which has not checked in lately, in ms. */
 const STALE_MS = 1500;
 /** Prompt tokens that an engine reads in a ms. */
 const TOKENS_PER_MS = 25;
+/** Spread of requests over upstreams that are expected to be equally fast, in ms. */
+const SPREAD_MS = 8;
 /** Upstreams at which a prompt's shared part is expected to be cached, by rendezvous rank. */
 const AFFINITY_RANKS = [1, 0.4] as const;
 
@@ -39,6 +41,8 @@
     /** Shared part of the prompt that engines may have cached. */
     readonly affinity: { readonly key: string; readonly tokens: number; } | undefined;
     readonly isEngine: boolean;
+    /** Differs between requests, so that all instances together spread them. */
+    readonly key: string;
 }
 
 /** The candidate with the least expected delay; undefined when there is none. */
@@ -54,7 +58,8 @@
     for (const candidate of candidates) {
         const rank = preferred.indexOf(candidate);
         const savedMs = rank < 0 ? 0 : (req.affinity?.tokens ?? 0) / TOKENS_PER_MS * (AFFINITY_RANKS[rank] ?? 0);
-        const ms = expectedDelayMs(req, candidate) - savedMs;
+        const spreadMs = hashFraction(`${req.key}|${candidate.id}`) * SPREAD_MS;
+        const ms = expectedDelayMs(req, candidate) + spreadMs - savedMs;
         if (ms < bestMs) {
             best = candidate;
             bestMs = ms;
--- a/src/common/gateway/UpstreamBoard.ts
+++ b/src/common/gateway/UpstreamBoard.ts
@@ -13,7 +13,7 @@
 /** Time in which the part of a reported load that others caused fades, in ms. */
 const LOAD_FADE_MS = 1500;
 /** Time in which the failure rate of an idle upstream halves, in ms. */
-const FAILURE_HALF_LIFE_MS = 4000;
+const FAILURE_HALF_LIFE_MS = 1500;
 
 /** State of one upstream. */
 export interface UpstreamStats {
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -29,6 +29,8 @@
     readonly service: Service;
     readonly rule: VersionRule;
     readonly prompt: Prompt | undefined;
+    /** Names the request. */
+    readonly key: string;
     /** Upstream processes that have failed the request. */
     readonly tried: ReadonlySet<string>;
 }
@@ -71,8 +73,9 @@
         const preferred = usable.filter(({ record }) => req.rule.isPreferred(record.version));
         const heard = preferred.length > 0 ? preferred : usable;
         const candidates = heard.map(item => this.candidate(item));
+        const { domain } = this.parts;
         const best = placeRequest(
-            { domain: this.parts.domain, affinity: affinityOf(req.prompt), isEngine: isEngine(req.service) },
+            { domain, affinity: affinityOf(req.prompt), isEngine: isEngine(req.service), key: req.key },
             candidates,
         );
         const record = heard.find(item => processName(item.record) === best?.id)?.record;
--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -51,6 +51,8 @@
     readonly spendRepeat: (service: string) => boolean;
     /** The upstream ended the connection while the request ran. */
     readonly onBroken: (call: Call, selection: Selection) => void;
+    /** No connection to the upstream could be had. */
+    readonly onUnreachable: (selection: Selection) => void;
     /** The first part of a good answer has come. */
     readonly onAnswer: (call: Call, selection: Selection, latencyMs: number) => void;
 }
@@ -225,6 +227,9 @@
         if (isBroken && wasSent) {
             parts.onBroken(call, selection);
         }
+        if (!wasSent && !isAborted) {
+            parts.onUnreachable(selection);
+        }
         const text = `upstream ${selection.record.id}: ${message}`;
         return { message: text, wasSent, mayHaveRun: wasSent, isUpstreamFailure: false };
     }
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -2,6 +2,7 @@
  * The role entry of a gateway process: follows the fleet, admits callers' requests and routes them to upstreams.
  */
 import { type ServiceBroker } from "moleculer";
+import { CrashSuspects } from "../../common/gateway/CrashSuspects.ts";
 import { type ExchangeCodec } from "../../common/gateway/Exchange.ts";
 import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
 import { type Fleet } from "../../common/gateway/FleetState.ts";
@@ -62,7 +63,7 @@
     private readonly follower: FleetFollower;
     private readonly connections: UpstreamConnections;
     private readonly outcomes = new Outcomes();
-    private readonly crashes = new Map<string, number>();
+    private readonly suspects: CrashSuspects;
     private readonly processes = new Map<string, string>();
     private readonly door: HttpDoor | undefined;
     private table: RouteTable | undefined;
@@ -76,6 +77,7 @@
         const now = (): number => clock.monotonic();
         this.directory = new UpstreamDirectory(clock);
         this.board = new UpstreamBoard(clock);
+        this.suspects = new CrashSuspects(clock);
         this.follower = this.register(
             new FleetFollower({
                 clock,
@@ -200,7 +202,8 @@
                 entryCount: () => this.follower.entryCount,
                 models: new ModelChoice(),
                 spendRepeat: service => budget.spend(service),
-                onBroken: call => this.noteCrash(call.fingerprint()),
+                onBroken: (call, { name }) => this.suspects.noteBroken(name, call.fingerprint()),
+                onUnreachable: ({ name }) => this.suspects.noteEnded(name),
                 onAnswer: (call, { record }, latencyMs) =>
                     this.outcomes.add(call.service.name, record.version, call.route.name, false, latencyMs),
             }),
@@ -233,6 +236,7 @@
             const name = processName(record);
             const before = this.processes.get(id);
             if (before !== undefined && before !== name) {
+                this.suspects.noteEnded(before);
                 this.connections.close(before);
                 this.board.forget(before);
             }
@@ -269,23 +273,14 @@
         }
     }
 
-    private noteCrash(fingerprint: string): void {
-        this.crashes.set(fingerprint, (this.crashes.get(fingerprint) ?? 0) + 1);
-        const [oldest] = this.crashes.keys();
-        if (this.crashes.size > MAX_CRASHES && oldest !== undefined) {
-            this.crashes.delete(oldest);
-        }
-    }
-
     private report(): {
         outcomes: ReturnType<Outcomes["select"]>;
         crashes: { fingerprint: string; count: number; }[];
     } {
         const running = this.follower.fleet.rollouts.filter(rollout => rollout.state === "running");
-        const crashes = [...this.crashes].map(([fingerprint, count]) => ({ fingerprint, count }));
         return {
             outcomes: this.outcomes.select(service => running.some(rollout => rollout.service === service)),
-            crashes,
+            crashes: this.suspects.crashes.slice(-MAX_CRASHES),
         };
     }
 }
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -126,7 +126,13 @@
             const key = req.session ?? req.id;
             const pinned = req.session === undefined ? undefined : sessions.get(req.session, service.name);
             const rule = versionRule(fleet(), service.name, key, pinned);
-            const selection = selector.select({ service, rule, prompt: req.prompt, tried: state.tried });
+            const selection = selector.select({
+                service,
+                rule,
+                prompt: req.prompt,
+                key: req.id,
+                tried: state.tried,
+            });
             if (selection !== undefined) {
                 return selection;
             }
