--- a/tools/Build.ts
+++ b/tools/Build.ts
@@ -3,7 +3,7 @@
  */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { chmodSync, copyFileSync, mkdirSync, renameSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { join } from "node:path";
 
@@ -44,10 +44,13 @@
     JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true, useCodeCache: true }),
 );
 execFileSync(process.execPath, ["--experimental-sea-config", seaConfig], { stdio: "pipe" });
-copyFileSync(process.execPath, BINARY);
-chmodSync(BINARY, 0o755);
+// A binary that is running can't be written to, but its file can be replaced.
+const next = `${BINARY}.next`;
+copyFileSync(process.execPath, next);
+chmodSync(next, 0o755);
 const postject = createRequire(import.meta.url).resolve("postject/dist/cli.js");
-execFileSync(process.execPath, [postject, BINARY, "NODE_SEA_BLOB", BLOB, "--sentinel-fuse", SEA_FUSE], {
+execFileSync(process.execPath, [postject, next, "NODE_SEA_BLOB", BLOB, "--sentinel-fuse", SEA_FUSE], {
     stdio: "pipe",
 });
+renameSync(next, BINARY);
 console.log(`built ${BINARY}`);
