An answer that is cut off by a reset or within its chunks never looks complete

Cause: the HTTP library takes any end of a connection that is not kept as the end of its answer. Change: the end of a connection is watched, and an answer that ends with a reset, or within its chunks, is broken. Ruled out: relaying itself (whole answers are collected before they are sent). Test: UpstreamConnections.test fails without the change for resets and for missing last chunks.

--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -2,7 +2,8 @@
  * Connections to upstreams: one pool for each process of an upstream, closed when that process has gone. An exchange
  * sends one request and hands out the answer as it arrives.
  */
-import { type Dispatcher, Pool } from "undici";
+import { Socket } from "node:net";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 
 /** Time in which a connection must stand, in ms. */
@@ -12,6 +13,8 @@
 /** How much sooner than the upstream an idle connection is closed, in ms, so that no request crosses its close. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 const MAX_KEEP_ALIVE_MS = 60_000;
+/** Silence after which the system probes a connection, in ms. */
+const KEEP_ALIVE_PROBE_MS = 2000;
 /** Answers that wait to be read by their exchange before the upstream is held up, in bytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -42,6 +45,15 @@
     readonly headers: readonly string[];
 }
 
+/** How a connection of a pool is ending right now. */
+type Ending = "reset" | "closed" | undefined;
+
+interface PoolEntry {
+    readonly pool: Pool;
+    /** Set only while the events of a connection that ends are delivered. */
+    ending: Ending;
+}
+
 const brokenCodes = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
 /** One request to an upstream and its answer. */
@@ -59,9 +71,11 @@
     private failure: ExchangeFailure | undefined;
     private wake: (() => void) | undefined;
     private readonly now: () => number;
+    private readonly ending: () => Ending;
 
-    public constructor(now: () => number) {
+    public constructor(now: () => number, ending: () => Ending) {
         this.now = now;
+        this.ending = ending;
     }
 
     /** Resolves with the head of the answer, or with the reason why there is none. */
@@ -127,6 +141,10 @@
                 this.signal();
             },
             onResponseEnd: () => {
+                if (this.isCutOff()) {
+                    this.fail("the connection ended within the answer", true);
+                    return;
+                }
                 this.isEnded = true;
                 this.signal();
             },
@@ -138,6 +156,18 @@
         };
     }
 
+    /**
+     * The library takes any end of a connection that is not kept for the end of its answer. Only an answer without
+     * length or chunks may end so, and only by an orderly close.
+     */
+    private isCutOff(): boolean {
+        const ending = this.ending();
+        const isChunked =
+            this.rawHead?.headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "transfer-encoding")
+                ?? false;
+        return ending === "reset" || (ending === "closed" && isChunked);
+    }
+
     private fail(message: string, isBroken: boolean): void {
         this.failure ??= { message, wasSent: this.wasSent, isBroken, isAborted: this.isAborted };
         this.signal();
@@ -162,19 +192,20 @@
 
 /** Pools of connections by upstream process. */
 export class UpstreamConnections extends DisposableOwner {
-    private readonly pools = new Map<string, Pool>();
+    private readonly pools = new Map<string, PoolEntry>();
     private readonly now: () => number;
 
     public constructor(now: () => number) {
         super();
         this.now = now;
-        this.register({ dispose: () => this.pools.forEach(pool => pool.destroy().catch(ignore)) });
+        this.register({ dispose: () => this.pools.forEach(({ pool }) => pool.destroy().catch(ignore)) });
     }
 
     /** Sends a request to the upstream process `name` at `address`, with at most `connections` at a time. */
     public send(name: string, address: string, connections: number, req: ExchangeRequest): Exchange {
-        const exchange = new Exchange(this.now);
-        this.poolOf(name, address, connections).dispatch(
+        const entry = this.poolOf(name, address, connections);
+        const exchange = new Exchange(this.now, () => entry.ending);
+        entry.pool.dispatch(
             {
                 path: req.path,
                 method: req.method as Dispatcher.HttpMethod,
@@ -190,28 +221,53 @@
 
     /** Closes the connections to an upstream process when its answers are complete. */
     public close(name: string): void {
-        const pool = this.pools.get(name);
+        const entry = this.pools.get(name);
         this.pools.delete(name);
-        pool?.close().catch(ignore);
+        entry?.pool.close().catch(ignore);
     }
 
-    private poolOf(name: string, address: string, connections: number): Pool {
+    private poolOf(name: string, address: string, connections: number): PoolEntry {
         const known = this.pools.get(name);
         if (known !== undefined) {
             return known;
         }
+        const connector = buildConnector({
+            timeout: CONNECT_TIMEOUT_MS,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+        });
         const pool = new Pool(`http://${address}`, {
             pipelining: 1,
             connections,
-            connect: { timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: 2000 },
+            connect: (options, callback) =>
+                connector(options, (...result) => {
+                    const [, socket] = result;
+                    if (socket instanceof Socket) {
+                        watchEnding(socket, entry);
+                    }
+                    callback(...result);
+                }),
             keepAliveTimeout: KEEP_ALIVE_MS,
             keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
         });
-        this.pools.set(name, pool);
-        return pool;
+        const entry: PoolEntry = { pool, ending: undefined };
+        this.pools.set(name, entry);
+        return entry;
     }
 }
 
+/** Says how a connection ends, to the listeners of the same event that follow. */
+const watchEnding = (socket: Socket, entry: PoolEntry): void => {
+    const mark = (ending: Ending): void => {
+        entry.ending = ending;
+        process.nextTick(() => {
+            entry.ending = undefined;
+        });
+    };
+    socket.on("error", () => mark("reset"));
+    socket.on("end", () => mark("closed"));
+};
+
 /** A pool that is thrown away has no one left to tell of its errors. */
 const ignore = (): void => undefined;
