Control instances that are no seeds become known, and failed requests keep repeats for themselves

Cause: the fourth control instance is no seed; nobody followed it, so check-ins there were lost to entry instances. Also: better answers used up the repeat budget, and an instance without contact took engines for silent. Change: asking makes a control instance known; a part of the savings is kept for failures; missing check-ins count only while news arrives; the first election after a start waits 0.2 to 0.6 s.

--- a/src/common/control/ControlTypes.ts
+++ b/src/common/control/ControlTypes.ts
@@ -52,6 +52,8 @@
     readonly initialVoters: readonly string[];
     /** Entries after which a snapshot is taken, when they are larger than usual. */
     readonly snapshotAfter?: number;
+    /** Whether the first election after the start waits less, so that a restart of all voters is over soon. */
+    readonly electsEarly?: boolean;
     /** Whether a voter whose storage failed tries again, as when a full disk gets room. */
     readonly recovers?: boolean;
     /** Uniform in [0, 1). */
--- a/src/common/control/Elector.ts
+++ b/src/common/control/Elector.ts
@@ -10,6 +10,9 @@
 
 /** How often the silence of the leader is looked at, in ms. */
 const TICK_MS = 50;
+/** Silence after its start after which a voter stands for election, and its spread, in ms. */
+const FIRST_MIN_MS = 200;
+const FIRST_SPREAD_MS = 400;
 
 /** The elections of one voter. */
 export class Elector extends DisposableOwner {
@@ -22,6 +25,10 @@
         this.voter = voter;
         this.onElected = onElected;
         this.resetTimeout();
+        // Nobody is disturbed by an early first try: voters that hear a leader support no other one.
+        if (voter.parts.electsEarly === true) {
+            this.electionMs = FIRST_MIN_MS + voter.parts.random() * FIRST_SPREAD_MS;
+        }
         this.register(repeat(voter.parts.clock, TICK_MS, () => this.tick()));
     }
 
--- a/src/common/gateway/RepeatBudget.ts
+++ b/src/common/gateway/RepeatBudget.ts
@@ -4,8 +4,13 @@
  */
 import { type Clock } from "../time/Clock.ts";
 
-/** Part of the budget that is spent, so that requests that vary between windows do not exceed it. */
-const SPENT_PART = 0.6;
+/** Part of the ratio that requests earn, so that requests that vary between windows do not exceed it. */
+const EARNED_PART = 0.9;
+/** Part of the slack that is saved up. */
+const SAVED_PART = 0.6;
+
+/** Part of the savings that is kept for failed requests. */
+const RESERVED_PART = 0.4;
 
 /** Bounds of the repeats of one service, over all instances. */
 export interface RepeatBounds {
@@ -37,13 +42,22 @@
     /** Counts a request, which earns a part of a repeat. */
     public earn(service: string): void {
         const purse = this.purseOf(service);
-        purse.tokens = Math.min(this.cap + this.bounds.ratio, purse.tokens + this.bounds.ratio * SPENT_PART);
+        purse.tokens = Math.min(this.cap + this.bounds.ratio, purse.tokens + this.bounds.ratio * EARNED_PART);
     }
 
-    /** Takes one repeat; false when none is left. */
+    /** Takes one repeat for a failed request; false when none is left. */
     public spend(service: string): boolean {
+        return this.take(service, 0);
+    }
+
+    /** Takes one repeat for a better answer; false when only those are left that failed requests may need. */
+    public spendSpare(service: string): boolean {
+        return this.take(service, this.cap * RESERVED_PART);
+    }
+
+    private take(service: string, reserved: number): boolean {
         const purse = this.purseOf(service);
-        if (purse.tokens < 1) {
+        if (purse.tokens < 1 + reserved) {
             return false;
         }
         purse.tokens--;
@@ -52,7 +66,7 @@
 
     /** Most repeats that are saved up. */
     private get cap(): number {
-        return Math.max(1, this.bounds.slack * SPENT_PART / this.entryCount());
+        return Math.max(1, this.bounds.slack * SAVED_PART / this.entryCount());
     }
 
     private purseOf(service: string): Purse {
--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -46,6 +46,8 @@
     readonly board: UpstreamBoard;
     readonly directory: UpstreamDirectory;
     readonly entryCount: () => number;
+    /** Whether news of upstreams reaches this instance. */
+    readonly isInformed: () => boolean;
     readonly models: ModelChoice;
     /** Takes one repeat from the budget of a service; false when none is left. */
     readonly spendRepeat: (service: string) => boolean;
@@ -149,7 +151,8 @@
         }
         const isRepeatable = call.route.kind === "idempotent" || call.route.isResumable;
         const silentMs = now - Math.max(this.sentAt, this.exchange.heardAt);
-        const isLost = heard === undefined || now - heard.heardAt > SILENT_CHECK_IN_MS;
+        // Without contact to control, missing check-ins say nothing of the upstream.
+        const isLost = parts.isInformed() && (heard === undefined || now - heard.heardAt > SILENT_CHECK_IN_MS);
         const isSilent = silentMs > SILENT_BYTES_MS && now - stats.heardAt > SILENT_BYTES_MS;
         if (isRepeatable && isLost && isSilent) {
             this.exchange.abort(`upstream ${name} is silent`);
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -69,6 +69,7 @@
                 initialVoters: isBootstrap ? seeds : [],
                 snapshotAfter: SNAPSHOT_AFTER,
                 recovers: true,
+                electsEarly: true,
                 random: Math.random,
             }),
         );
@@ -197,7 +198,13 @@
 
     private listen(): void {
         const { network, log, clock } = this.parts;
-        this.register(network.handle("watchFleet", (req, from) => this.publisher.watch(req, from)));
+        this.register(network.handle("watchFleet", (req, from) => {
+            // Control instances that are no seeds make themselves known by asking.
+            if (req.role === "control") {
+                this.follower.learn([from]);
+            }
+            return this.publisher.watch(req, from);
+        }));
         this.register(network.handle("fetchFleet", () => ({ fleet: this.fleet })));
         this.register(this.state.onChanged(() => this.publisher.flush()));
         this.register(this.follower.onFleetChanged(() => this.publisher.flush()));
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -36,6 +36,8 @@
 const CUT_BEFORE_MS = 700;
 /** How often upstreams that fell silent are dropped, in ms. */
 const FORGET_PERIOD_MS = 5000;
+/** Age of the proof of the configuration up to which news of upstreams is taken to be complete, in ms. */
+const INFORMED_MS = 1500;
 /** Crashed requests that are reported. */
 const MAX_CRASHES = 50;
 const MS_PER_SECOND = 1000;
@@ -200,8 +202,9 @@
                 board: this.board,
                 directory: this.directory,
                 entryCount: () => this.follower.entryCount,
+                isInformed: () => this.follower.proofAgeMs < INFORMED_MS,
                 models: new ModelChoice(),
-                spendRepeat: service => budget.spend(service),
+                spendRepeat: service => budget.spendSpare(service),
                 onBroken: (call, { name }) => this.suspects.noteBroken(name, call.fingerprint()),
                 onUnreachable: ({ name }) => this.suspects.noteEnded(name),
                 onAnswer: (call, { record }, latencyMs) =>
--- a/tools/Build.ts
+++ b/tools/Build.ts
@@ -47,10 +47,10 @@
 // A binary that is running can't be written to, but its file can be replaced.
 const next = `${BINARY}.next`;
 copyFileSync(process.execPath, next);
-chmodSync(next, 0o755);
 const postject = createRequire(import.meta.url).resolve("postject/dist/cli.js");
 execFileSync(process.execPath, [postject, next, "NODE_SEA_BLOB", BLOB, "--sentinel-fuse", SEA_FUSE], {
     stdio: "pipe",
 });
+chmodSync(next, 0o755);
 renameSync(next, BINARY);
 console.log(`built ${BINARY}`);
