--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -15,6 +15,8 @@
 const WATCH_TIMEOUT_MS = 1500;
 /** Time in which a fleet must arrive, in ms. */
 const FETCH_TIMEOUT_MS = 3000;
+/** Age of the proof up to which a call waits for news, in ms: over two held calls in a row. */
+const FRESH_PROOF_MS = 1500;
 /** Pause after a call that failed, in ms. */
 const PAUSE_MS = 150;
 /** A control instance that has not answered for this long, and that no other one names, is given up, in ms. */
@@ -159,11 +161,13 @@
     private async watchOnce(id: string, peer: Watched): Promise<void> {
         const { clock, network, role, report } = this.parts;
         const sentAt = clock.monotonic();
+        const mayWait = this.proofAgeMs < FRESH_PROOF_MS;
         const { outcomes, crashes } = report();
         const req = {
             role,
             epoch: peer.epoch,
             since: peer.since,
+            mayWait,
             revision: this.current.revision,
             outcomes: [...outcomes],
             crashes: [...crashes],
@@ -176,6 +180,9 @@
         if (reply.revision <= this.current.revision) {
             this.provenAt = Math.max(this.provenAt, sentAt - reply.proofAgeMs);
         }
+        if (!mayWait && this.proofAgeMs >= FRESH_PROOF_MS) {
+            await sleep(clock, PAUSE_MS);
+        }
     }
 
     private take(peer: Watched, reply: PeerReply<"watchFleet">): void {
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -85,7 +85,7 @@
         const isFirst = req.epoch !== epoch;
         const since = isFirst ? 0 : req.since;
         const known = this.quarantineCount;
-        while (!isFirst && !this.isDisposed && !this.hasUrgentNews(req.revision, since, known)) {
+        while (req.mayWait && !isFirst && !this.isDisposed && !this.hasUrgentNews(req.revision, since, known)) {
             const waitedMs = clock.monotonic() - askedAt;
             const isBatchDue = waitedMs >= BATCH_MS && this.parts.directory.version > since;
             if (waitedMs >= HOLD_MS || isBatchDue) {
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -99,6 +99,8 @@
             epoch: z.string(),
             /** Number of the newest change of upstreams that the sender has from the receiver. */
             since: z.number(),
+            /** Whether the call may wait for news; a sender whose proof has grown old wants a new one at once. */
+            mayWait: z.boolean(),
             /** Revision of the fleet that the sender holds. */
             revision: z.number(),
             /** Answers of versions in roll-out, counted since the sender's process started. */
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -37,7 +37,7 @@
 /** How often upstreams that fell silent are dropped, in ms. */
 const FORGET_PERIOD_MS = 5000;
 /** Age of the proof of the configuration up to which news of upstreams is taken to be complete, in ms. */
-const INFORMED_MS = 1500;
+const INFORMED_MS = 2000;
 /** Crashed requests that are reported. */
 const MAX_CRASHES = 50;
 const MS_PER_SECOND = 1000;
