--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -128,6 +128,7 @@
     promptTokens: 0,
     failureRate: 0,
     isStale: false,
+    isDoubtful: false,
     ...change,
 });
 
@@ -148,5 +149,6 @@
     assert.equal(place(candidate("a", { failureRate: 0.5 }), candidate("b", { domain: "there" })), "b");
     assert.equal(place(candidate("a", { isStale: true }), candidate("b", { running: 10, slots: 64 })), "b");
     assert.equal(place(candidate("a", { domain: "there" }), candidate("b")), "b");
+    assert.equal(place(candidate("a", { isDoubtful: true }), candidate("b", { running: 20 })), "b");
     assert.equal(place(candidate("a", { running: 8, slots: 6 }), candidate("b", { domain: "there" })), "b");
 });
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -12,11 +12,11 @@
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** Time in which a control instance must answer, in ms; it holds a call for less than half of that. */
-const WATCH_TIMEOUT_MS = 1500;
+const WATCH_TIMEOUT_MS = 2100;
 /** Time in which a fleet must arrive, in ms. */
 const FETCH_TIMEOUT_MS = 3000;
 /** Age of the proof up to which a call waits for news, in ms: over two held calls in a row. */
-const FRESH_PROOF_MS = 1500;
+const FRESH_PROOF_MS = 2300;
 /** Pause after a call that failed, in ms. */
 const PAUSE_MS = 150;
 /** A control instance that has not answered for this long, and that no other one names, is given up, in ms. */
@@ -192,7 +192,8 @@
         this.mostEntries = Math.max(this.mostEntries, reply.entryCount);
         peer.quarantined.clear();
         reply.quarantined.forEach(fingerprint => peer.quarantined.add(fingerprint));
-        reply.records.forEach(({ record, ageMs }) => this.parts.directory.take(record, ageMs));
+        reply.records.forEach(({ record, ageMs }) => this.parts.directory.take(record, ageMs, true));
+        reply.renewals.forEach(([id, start, seq, ageMs]) => this.parts.directory.renew(id, start, seq, ageMs));
         this.learn(reply.controls);
     }
 
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -12,9 +12,9 @@
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** Longest time for which a call is held, in ms; it also renews the follower's lease. */
-const HOLD_MS = 600;
+const HOLD_MS = 1000;
 /** Time in which ordinary statements of upstreams are batched, in ms. */
-const BATCH_MS = 300;
+const BATCH_MS = 500;
 /** An entry instance that has not asked for this long is not counted, in ms. */
 const ENTRY_MEMORY_MS = 10_000;
 /** Largest age that is sent, in ms. */
@@ -114,6 +114,7 @@
     private reply(since: number): PeerReply<"watchFleet"> {
         const { clock, epoch, directory, fleet, proofAgeMs, controls } = this.parts;
         const now = clock.monotonic();
+        const { records, renewals } = directory.changedSince(since);
         const entries = [...this.followers.values()]
             .filter(follower => follower.role === "entry" && now - follower.seenAt < ENTRY_MEMORY_MS);
         return {
@@ -121,7 +122,8 @@
             version: directory.version,
             revision: fleet().revision,
             proofAgeMs: Math.min(MAX_AGE_MS, proofAgeMs()),
-            records: directory.changedSince(since).map(({ record, heardAt }) => ({ record, ageMs: now - heardAt })),
+            records: records.map(({ record, heardAt }) => ({ record, ageMs: now - heardAt })),
+            renewals: renewals.map(({ id, start, seq, heardAt }) => [id, start, seq, Math.round(now - heardAt)]),
             controls: [...controls()],
             entryCount: entries.length,
             quarantined: [...this.crashes.quarantined()],
--- a/src/common/gateway/Placement.ts
+++ b/src/common/gateway/Placement.ts
@@ -14,6 +14,8 @@
 const FAILURE_MS = 1000;
 /** Delay that counts for an upstream which has not checked in lately, in ms. */
 const STALE_MS = 1500;
+/** Delay that counts for an upstream whose failure domain may be out of reach, in ms: a failed connection. */
+const DOUBTFUL_MS = 600;
 /** Prompt tokens that an engine reads in a ms. */
 const TOKENS_PER_MS = 25;
 /** Spread of requests over upstreams that are expected to be equally fast, in ms. */
@@ -33,6 +35,8 @@
     readonly failureRate: number;
     /** Whether it has not checked in lately. */
     readonly isStale: boolean;
+    /** Whether its failure domain may be out of reach. */
+    readonly isDoubtful: boolean;
 }
 
 /** What a request asks of its place. */
@@ -74,6 +78,6 @@
     const share = req.isEngine ? running * ENGINE_SHARE_MS : running / Math.max(1, slots) * ENGINE_SHARE_MS * 8;
     const readingMs = candidate.promptTokens / TOKENS_PER_MS;
     const domainMs = candidate.domain === req.domain ? 0 : OTHER_DOMAIN_MS;
-    const staleMs = candidate.isStale ? STALE_MS : 0;
+    const staleMs = (candidate.isStale ? STALE_MS : 0) + (candidate.isDoubtful ? DOUBTFUL_MS : 0);
     return share + over * QUEUE_SHARE_MS + readingMs + domainMs + candidate.failureRate * FAILURE_MS + staleMs;
 };
--- a/src/common/gateway/UpstreamBoard.ts
+++ b/src/common/gateway/UpstreamBoard.ts
@@ -15,6 +15,9 @@
 /** Time in which the failure rate of an idle upstream halves, in ms. */
 const FAILURE_HALF_LIFE_MS = 1500;
 
+/** How long a failure domain is avoided after a connection to it failed, in ms. */
+const DOUBT_MS = 2000;
+
 /** State of one upstream. */
 export interface UpstreamStats {
     inFlight: number;
@@ -38,6 +41,7 @@
 export class UpstreamBoard {
     private readonly clock: Clock;
     private readonly stats = new Map<string, UpstreamStats>();
+    private readonly unreachableAt = new Map<string, number>();
 
     public constructor(clock: Clock) {
         this.clock = clock;
@@ -85,6 +89,16 @@
         return stats.failureRate * 0.5 ** ((this.clock.monotonic() - stats.failureAt) / FAILURE_HALF_LIFE_MS);
     }
 
+    /** No connection to an upstream of the domain could be had. */
+    public noteUnreachable(domain: string): void {
+        this.unreachableAt.set(domain, this.clock.monotonic());
+    }
+
+    /** Whether connections to the domain failed lately, as they do when it is cut off. */
+    public isDoubtful(domain: string): boolean {
+        return this.clock.monotonic() - (this.unreachableAt.get(domain) ?? -Infinity) < DOUBT_MS;
+    }
+
     public noteLoad(stats: UpstreamStats, load: UpstreamLoad): void {
         stats.otherLoad = Math.max(0, load.running + load.waiting - stats.inFlight);
         stats.waiting = load.waiting;
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -10,8 +10,25 @@
 const FORGET_AFTER_MS = 30_000;
 
 interface Entry extends HeardRecord {
-    /** Number of the change that put the entry here. */
+    /** Number of the newest change, renewals included. */
     readonly change: number;
+    /** Number of the newest change of anything but the sequence number. */
+    readonly contentChange: number;
+}
+
+/** A statement that says nothing new but that its upstream lives. */
+export interface Renewal {
+    readonly id: string;
+    readonly start: number;
+    readonly seq: number;
+    /** Monotonic time at which it was heard, in ms. */
+    readonly heardAt: number;
+}
+
+/** What changed for a follower. */
+export interface DirectoryNews {
+    readonly records: readonly HeardRecord[];
+    readonly renewals: readonly Renewal[];
 }
 
 /** A change that followers must learn of. */
@@ -48,8 +65,11 @@
         return this.entries.values();
     }
 
-    /** Takes a statement that was made `ageMs` ago. False when it is not news. */
-    public take(record: UpstreamRecord, ageMs: number): boolean {
+    /**
+     * Takes a statement that was made `ageMs` ago. False when it is not news. Renewals that another instance passed on
+     * are not passed on again: followers hear them from the instance at which the upstream checked in.
+     */
+    public take(record: UpstreamRecord, ageMs: number, isRelayed = false): boolean {
         const known = this.entries.get(record.id);
         if (known !== undefined && !isNewerRecord(record, known.record)) {
             return false;
@@ -65,10 +85,25 @@
         }
         const isUrgent = known === undefined || known.record.state !== record.state
             || known.record.start !== record.start || isColdAgain(record, known.record);
+        if (known !== undefined && !isUrgent && isSameContent(record, known.record)) {
+            const change = isRelayed ? known.change : ++this.changes;
+            const heardAt = this.clock.monotonic() - ageMs;
+            this.entries.set(record.id, { record, heardAt, change, contentChange: known.contentChange });
+            this.changed.fire({ record, isUrgent: false });
+            return true;
+        }
         this.put(record, ageMs, isUrgent);
         return true;
     }
 
+    /** Takes the renewal of a known upstream that another instance passed on. */
+    public renew(id: string, start: number, seq: number, ageMs: number): void {
+        const known = this.entries.get(id)?.record;
+        if (known?.start === start) {
+            this.take({ ...known, seq }, ageMs, true);
+        }
+    }
+
     /** Marks an upstream that says it leaves. `start` is its process, when that is known. */
     public leave(id: string, start: number | undefined): void {
         const known = this.entries.get(id)?.record;
@@ -92,8 +127,14 @@
     }
 
     /** Everything that changed after change number `since`. */
-    public changedSince(since: number): HeardRecord[] {
-        return [...this.entries.values()].filter(entry => entry.change > since);
+    public changedSince(since: number): DirectoryNews {
+        const changed = [...this.entries.values()].filter(entry => entry.change > since);
+        return {
+            records: changed.filter(entry => entry.contentChange > since),
+            renewals: changed
+                .filter(entry => entry.contentChange <= since)
+                .map(({ record: { id, start, seq }, heardAt }) => ({ id, start, seq, heardAt })),
+        };
     }
 
     /** Drops what has not been heard of for long. */
@@ -118,7 +159,12 @@
 
     private put(record: UpstreamRecord, ageMs: number, isUrgent: boolean): void {
         this.changes++;
-        this.entries.set(record.id, { record, heardAt: this.clock.monotonic() - ageMs, change: this.changes });
+        this.entries.set(record.id, {
+            record,
+            heardAt: this.clock.monotonic() - ageMs,
+            change: this.changes,
+            contentChange: this.changes,
+        });
         if (record.state !== "gone") {
             this.byAddress.set(`${record.host}:${record.port}`, record.id);
         }
@@ -126,4 +172,9 @@
     }
 }
 
+const isSameContent = (a: UpstreamRecord, b: UpstreamRecord): boolean =>
+    a.state === b.state && a.start === b.start && a.coldMs === b.coldMs && a.service === b.service
+    && a.host === b.host && a.port === b.port && a.version === b.version && a.slots === b.slots
+    && a.domain === b.domain;
+
 const isColdAgain = (record: UpstreamRecord, known: UpstreamRecord): boolean => record.coldMs > 0 && known.coldMs <= 0;
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -51,6 +51,8 @@
     readonly domain: string;
     readonly fleet: () => Fleet;
     readonly entryCount: () => number;
+    /** Whether control can be reached; without it, other failure domains may be out of reach too. */
+    readonly isInformed: () => boolean;
     readonly coldBounds: ColdBounds;
 }
 
@@ -159,6 +161,8 @@
             promptTokens: stats.promptTokens,
             failureRate: board.failureRate(stats),
             isStale: clock.monotonic() - heardAt > STALE_AFTER_MS,
+            isDoubtful: record.domain !== this.parts.domain
+                && (board.isDoubtful(record.domain) || !this.parts.isInformed()),
         };
     }
 }
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -115,6 +115,8 @@
             /** Age of the newest proof that the majority held no later revision, in ms. */
             proofAgeMs: z.number(),
             records: z.array(z.object({ record: upstreamRecordSchema, ageMs: z.number() })),
+            /** Known upstreams that have checked in again: id, start, sequence number and age in ms. */
+            renewals: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
             /** Ids of the control instances that the receiver knows. */
             controls: z.array(z.string()),
             /** How many entry instances the receiver has heard of lately. */
--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -18,6 +18,11 @@
 /** An upstream is taken for dead when it has neither checked in nor sent a byte for these times, in ms. */
 const SILENT_CHECK_IN_MS = 3500;
 const SILENT_BYTES_MS = 1500;
+/** A stream has stalled after this many of its longest pauses that are still on time, and after this time, in ms. */
+const STALL_FACTOR = 1.2;
+const MIN_STALL_MS = 700;
+/** A stream whose first event is due has stalled after twice its objective, and after this time, in ms. */
+const MIN_FIRST_MS = 2500;
 /** An idempotent call of a plain service is repeated elsewhere after this many times its objective. */
 const SLOW_FACTOR = 2;
 const MIN_SLOW_MS = 300;
@@ -151,6 +156,11 @@
         }
         const isRepeatable = call.route.kind === "idempotent" || call.route.isResumable;
         const silentMs = now - Math.max(this.sentAt, this.exchange.heardAt);
+        const isStalled = silentMs > this.stallMs() && now - stats.heardAt > this.stallMs();
+        if (isRepeatable && isStalled) {
+            this.exchange.abort(`upstream ${name} has stalled`);
+            return;
+        }
         // Without contact to control, missing check-ins say nothing of the upstream.
         const isLost = parts.isInformed() && (heard === undefined || now - heard.heardAt > SILENT_CHECK_IN_MS);
         const isSilent = silentMs > SILENT_BYTES_MS && now - stats.heardAt > SILENT_BYTES_MS;
@@ -165,6 +175,16 @@
         }
     }
 
+    /** Time after which a stream has stalled, unless its upstream sends something on other connections, in ms. */
+    private stallMs(): number {
+        const { gapMs, objectiveMs, isResumable } = this.call.route;
+        const hasBegun = this.exchange.heardAt > -Infinity;
+        if (!isResumable) {
+            return Infinity;
+        }
+        return hasBegun ? Math.max(MIN_STALL_MS, gapMs * STALL_FACTOR) : Math.max(MIN_FIRST_MS, objectiveMs * 2);
+    }
+
     private async exchangeAll(): Promise<AttemptFailure | undefined> {
         const { parts, selection: { stats } } = this;
         const raw = await this.exchange.head();
@@ -231,6 +251,7 @@
             parts.onBroken(call, selection);
         }
         if (!wasSent && !isAborted) {
+            parts.board.noteUnreachable(selection.record.domain);
             parts.onUnreachable(selection);
         }
         const text = `upstream ${selection.record.id}: ${message}`;
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -37,7 +37,7 @@
 /** How often upstreams that fell silent are dropped, in ms. */
 const FORGET_PERIOD_MS = 5000;
 /** Age of the proof of the configuration up to which news of upstreams is taken to be complete, in ms. */
-const INFORMED_MS = 2000;
+const INFORMED_MS = 2500;
 /** Crashed requests that are reported. */
 const MAX_CRASHES = 50;
 const MS_PER_SECOND = 1000;
@@ -136,6 +136,11 @@
         return this.follower.proofAgeMs < this.parts.settings.bounds.revoke_ms * LEASE_PART;
     }
 
+    /** Whether news of upstreams reaches this instance. */
+    private get isInformed(): boolean {
+        return this.follower.proofAgeMs < INFORMED_MS;
+    }
+
     /** Why new callers should go elsewhere; undefined when they may come. */
     public get notReady(): string | undefined {
         if (this.isStopping) {
@@ -188,6 +193,7 @@
             domain: settings.instance.domain,
             fleet: () => this.follower.fleet,
             entryCount: () => this.follower.entryCount,
+            isInformed: () => this.isInformed,
             coldBounds: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
         });
     }
@@ -202,7 +208,7 @@
                 board: this.board,
                 directory: this.directory,
                 entryCount: () => this.follower.entryCount,
-                isInformed: () => this.follower.proofAgeMs < INFORMED_MS,
+                isInformed: () => this.isInformed,
                 models: new ModelChoice(),
                 spendRepeat: service => budget.spendSpare(service),
                 onBroken: (call, { name }) => this.suspects.noteBroken(name, call.fingerprint()),
