--- a/src/common/gateway/Placement.ts
+++ b/src/common/gateway/Placement.ts
@@ -5,7 +5,7 @@
 import { hashFraction, rendezvous } from "../routing/Hash.ts";
 
 /** Cost of leaving the failure domain, in ms; bytes between domains are paid for. */
-const OTHER_DOMAIN_MS = 25;
+const OTHER_DOMAIN_MS = 100;
 /** Expected delay by each request that already runs at an engine, in ms. */
 const ENGINE_SHARE_MS = 6;
 /** Expected delay by each request beyond a plain service's slots, in units of its objective. */
@@ -17,7 +17,7 @@
 /** Delay that counts for an upstream whose failure domain may be out of reach, in ms: a failed connection. */
 const DOUBTFUL_MS = 600;
 /** Prompt tokens that an engine reads in a ms. */
-const TOKENS_PER_MS = 25;
+const TOKENS_PER_MS = 60;
 /** Spread of requests over upstreams that are expected to be equally fast, in ms. */
 const SPREAD_MS = 8;
 /** Upstreams at which a prompt's shared part is expected to be cached, by rendezvous rank. */
