Repeats are saved up from the requests of the last window, for failures that come all at once

Cause: each instance saved up at most its part of the slack, four repeats. Change: a quarter of the ratio of the last window's requests is saved up too; requests earn 0.7 of it instead of 0.9. Test: Decisions.test replays requests of which a third move to a larger model, and one second in which all break.

--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -64,6 +64,35 @@
     }
 });
 
+test("RepeatBudget: savings that are spent all at once stay below the bound, also beside those that go on", () => {
+    const clock = new ManualClock(0);
+    const bounds = { ratio: 0.9, slack: 56, windowMs: 10_000 };
+    const entries = 8;
+    const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, bounds, () => entries));
+    const spentAt: number[] = [];
+    const requestsPerSecond = 5;
+    for (let second = 0; second < 60; second++) {
+        for (const budget of budgets) {
+            for (let request = 0; request < requestsPerSecond; request++) {
+                budget.earn("s");
+            }
+            // A third of the requests move to a larger model; in second 40 every stream breaks.
+            const wanted = second === 40 ? 100 : 2;
+            for (let repeat = 0; repeat < wanted && budget.spend("s"); repeat++) {
+                spentAt.push(second);
+            }
+        }
+        clock.advance(1000);
+    }
+    const burst = spentAt.filter(at => at === 40).length;
+    assert.ok(burst > 60, `only ${burst} repeats when every stream broke`);
+    for (let from = 0; from < 50; from++) {
+        const spent = spentAt.filter(at => at >= from && at < from + 10).length;
+        const requests = requestsPerSecond * entries * 10;
+        assert.ok(spent <= requests * bounds.ratio + bounds.slack, `${spent} repeats from second ${from}`);
+    }
+});
+
 test("ColdLimiter: all instances together send a cold upstream less than it bears in every second", () => {
     const clock = new ManualClock(0);
     const rate = { perSecond: 12, excess: 1.5, slack: 5 };
--- a/src/common/gateway/RepeatBudget.ts
+++ b/src/common/gateway/RepeatBudget.ts
@@ -4,10 +4,12 @@
  */
 import { type Clock } from "../time/Clock.ts";
 
-/** Part of the ratio that requests earn, so that requests that vary between windows do not exceed it. */
-const EARNED_PART = 0.9;
+/** Part of the ratio that each request earns. */
+const EARNED_PART = 0.7;
+/** Part of the ratio that is saved up from the requests of the last window, for failures that come all at once. */
+const BANKED_PART = 0.25;
 /** Part of the slack that is saved up. */
-const SAVED_PART = 0.6;
+const SAVED_PART = 0.8;
 
 /** Part of the savings that is kept for failed requests. */
 const RESERVED_PART = 0.4;
@@ -24,6 +26,8 @@
 interface Purse {
     tokens: number;
     filledAt: number;
+    /** Requests in about the last window. */
+    recent: number;
 }
 
 /** Budgets by service. */
@@ -42,7 +46,8 @@
     /** Counts a request, which earns a part of a repeat. */
     public earn(service: string): void {
         const purse = this.purseOf(service);
-        purse.tokens = Math.min(this.cap + this.bounds.ratio, purse.tokens + this.bounds.ratio * EARNED_PART);
+        purse.recent++;
+        purse.tokens = Math.min(this.capOf(purse) + 1, purse.tokens + this.bounds.ratio * EARNED_PART);
     }
 
     /** Takes one repeat for a failed request; false when none is left. */
@@ -52,7 +57,7 @@
 
     /** Takes one repeat for a better answer; false when only those are left that failed requests may need. */
     public spendSpare(service: string): boolean {
-        return this.take(service, this.cap * RESERVED_PART);
+        return this.take(service, this.capOf(this.purseOf(service)) * RESERVED_PART);
     }
 
     private take(service: string, reserved: number): boolean {
@@ -65,7 +70,11 @@
     }
 
     /** Most repeats that are saved up. */
-    private get cap(): number {
+    private capOf(purse: Purse): number {
+        return this.slackShare + purse.recent * this.bounds.ratio * BANKED_PART;
+    }
+
+    private get slackShare(): number {
         return Math.max(1, this.bounds.slack * SAVED_PART / this.entryCount());
     }
 
@@ -73,12 +82,15 @@
         const now = this.clock.monotonic();
         const known = this.purses.get(service);
         if (known === undefined) {
-            const purse = { tokens: this.cap / 2, filledAt: now };
+            const purse = { tokens: this.slackShare / 2, filledAt: now, recent: 0 };
             this.purses.set(service, purse);
             return purse;
         }
-        const refill = this.cap / 2 * (now - known.filledAt) / this.bounds.windowMs;
-        known.tokens = Math.max(known.tokens, Math.min(this.cap, known.tokens + refill));
+        const passed = (now - known.filledAt) / this.bounds.windowMs;
+        known.recent *= Math.exp(-passed);
+        const refill = this.slackShare / 2 * passed;
+        known.tokens = Math.max(known.tokens, Math.min(this.slackShare, known.tokens + refill));
+        known.tokens = Math.min(known.tokens, this.capOf(known) + 1);
         known.filledAt = now;
         return known;
     }
