--- a/src/common/gateway/ColdLimiter.ts
+++ b/src/common/gateway/ColdLimiter.ts
@@ -34,10 +34,6 @@
         this.lastSentAt.set(upstream, this.clock.monotonic());
     }
 
-    public forget(upstream: string): void {
-        this.lastSentAt.delete(upstream);
-    }
-
     /** Time between two requests. In any second at most one more than a second's share is sent. */
     private spacingMs({ perSecond, excess, slack }: ColdRate, entryCount: number): number {
         const share = (perSecond * excess + slack) / entryCount - 1;
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -65,14 +65,6 @@
         return sumOutcomes([...this.followers.values()].map(follower => follower.outcomes));
     }
 
-    /** Control instances that have asked within `maxAgeMs`. */
-    public askingControls(maxAgeMs: number): string[] {
-        const now = this.parts.clock.monotonic();
-        return [...this.followers]
-            .filter(([, follower]) => follower.role === "control" && now - follower.seenAt <= maxAgeMs)
-            .map(([id]) => id);
-    }
-
     /** Answers every call that waits, as after a change of the fleet. */
     public flush(): void {
         this.news.fire();
--- a/src/common/gateway/ModelChoice.ts
+++ b/src/common/gateway/ModelChoice.ts
@@ -29,11 +29,6 @@
 export class ModelChoice {
     private readonly latencies = new Map<string, number>();
 
-    /** Index of the model with which a request of the route starts. */
-    public first(): number {
-        return 0;
-    }
-
     /** Notes when the answer of a model began. */
     public note(route: Route, model: number, latencyMs: number): void {
         const key = `${route.name} ${model}`;
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -91,20 +91,6 @@
         return { record, name, stats: this.parts.board.of(name) };
     }
 
-    /** Whether any upstream of the service has checked in, usable now or not. */
-    public hasAny(service: string): boolean {
-        for (const { record } of this.parts.directory.all()) {
-            if (record.service === service && record.state === "ready") {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    public forget(name: string): void {
-        this.cold.forget(name);
-    }
-
     private usable(req: SelectionRequest): HeardRecord[] {
         const { directory, board, clock, fleet } = this.parts;
         const { drainedDomains } = fleet();
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -101,7 +101,6 @@
         const state: CallState = {
             tried: new Set(),
             runs: 0,
-            sends: 0,
             model: 0,
             splitter: undefined,
             failedAnswer: undefined,
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -69,8 +69,6 @@
     readonly tried: Set<string>;
     /** Upstreams that may have run the request. */
     runs: number;
-    /** Requests that reached an upstream. */
-    sends: number;
     /** Index among the route's models. */
     model: number;
     /** Whether a stream has begun. */
@@ -176,7 +174,6 @@
         }
         state.lastFailure = failure.message;
         state.runs += failure.mayHaveRun ? 1 : 0;
-        state.sends += failure.wasSent ? 1 : 0;
         if (failure.isUpstreamFailure) {
             this.countOutcome(call, selection, true, undefined);
         }
