--- a/src/node/entry/ServiceHandler.ts
+++ b/src/node/entry/ServiceHandler.ts
@@ -12,6 +12,7 @@
 import { type Clock } from "../../common/time/Clock.ts";
 import { serviceTarget } from "../../common/upstreams/Upstream.ts";
 import { RUN_HEADER, type UpstreamAnswer, type UpstreamClient } from "../dispatch/UpstreamClient.ts";
+import { connectionHeaders } from "../http/ConnectionHeaders.ts";
 import { readBody } from "../http/HttpBody.ts";
 import { readWhole, refuseFailure } from "./ChatHandler.ts";
 import { billId, fingerprintOf, refuseQuarantined, type RequestContext } from "./RequestContext.ts";
@@ -28,21 +29,7 @@
 const CALL_COST = 100;
 
 /** Headers that belong to one connection, or that the router sets itself. */
-const hopHeaders = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "authorization",
-    "x-request-id",
-    "expect",
-]);
+const hopHeaders = new Set([...connectionHeaders, "host", "authorization", "x-request-id"]);
 
 /** What the handler works with. */
 export interface ServiceParts {
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -4,7 +4,7 @@
 import { parse } from "ini";
 import { readFileSync } from "node:fs";
 import { z } from "zod";
-import { locate } from "../settings/SettingsReader.ts";
+import { locate, type SettingsFault } from "../settings/SettingsReader.ts";
 
 const address = z.string()
     .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "must be IP:PORT, such as 127.0.0.1:8080")
@@ -59,20 +59,10 @@
 /** Checked settings of a gateway process. */
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
 
-/** A fault of a settings file. */
-export interface GatewaySettingsFault {
-    readonly file: string;
-    /** Line from 1. */
-    readonly line: number;
-    /** `section.key`. */
-    readonly field: string;
-    readonly message: string;
-}
-
 /** Checked settings, or all faults of the file. */
 export type GatewaySettingsResult =
     | { readonly settings: GatewaySettings; readonly faults: readonly []; }
-    | { readonly settings: undefined; readonly faults: readonly GatewaySettingsFault[]; };
+    | { readonly settings: undefined; readonly faults: readonly SettingsFault[]; };
 
 /** Reads and checks a settings file. */
 export const readGatewaySettings = (file: string): GatewaySettingsResult => {
@@ -102,7 +92,7 @@
     return faults.length > 0 ? failed(faults) : { settings: result.data, faults: [] };
 };
 
-const failed = (faults: readonly GatewaySettingsFault[]): GatewaySettingsResult => ({ settings: undefined, faults });
+const failed = (faults: readonly SettingsFault[]): GatewaySettingsResult => ({ settings: undefined, faults });
 
 const findRoleFaults = ({ instance, doors }: GatewaySettings): [string, string][] => {
     const faults: [string, string][] = [];
