Control instances that are gone for good are replaced as voters

Cause: nextVoters only added voters. Change: a voter that has been silent for 2.5 s leaves when another control instance can take its place, which is added right after. VoterKeeper holds the steps, apart from the role. Addresses of control instances that have been silent for 10 s are not passed on any more, and one that never answered is no candidate. Ruled out: adding the successor first; a lost successor would then block every later change.

--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -142,10 +142,23 @@
 });
 
 test("VoterPlan: voters grow one at a time to an odd number, at most five", () => {
-    assert.equal(nextVoters(["a", "b", "c"], ["a", "b", "c", "d"]), undefined);
-    assert.deepEqual(nextVoters(["a", "b", "c"], ["a", "b", "c", "d", "e"]), ["a", "b", "c", "d"]);
-    assert.deepEqual(nextVoters(["a", "b", "c", "d"], ["a", "b", "c", "d", "e"]), ["a", "b", "c", "d", "e"]);
-    assert.equal(nextVoters(["a", "b", "c", "d", "e"], ["a", "b", "c", "d", "e", "f", "g"]), undefined);
+    const next = (voters: string, reachable: string): string | undefined =>
+        nextVoters([...voters], { reachable: [...reachable], lost: [] })?.join("");
+    assert.equal(next("abc", "abcd"), undefined);
+    assert.equal(next("abc", "abcde"), "abcd");
+    assert.equal(next("abcd", "abcde"), "abcde");
+    assert.equal(next("abcde", "abcdefg"), undefined);
+});
+
+test("VoterPlan: a lost voter leaves when another instance can take its place, and only then", () => {
+    const next = (voters: string, reachable: string, lost: string): string | undefined =>
+        nextVoters([...voters], { reachable: [...reachable], lost: [...lost] })?.join("");
+    assert.equal(next("abc", "ab", "c"), undefined);
+    assert.equal(next("abc", "abd", ""), undefined);
+    assert.equal(next("abc", "abd", "c"), "ab");
+    assert.equal(next("ab", "abd", "c"), "abd");
+    assert.equal(next("abcde", "abcdf", "e"), "abcd");
+    assert.equal(next("abcd", "abcdf", "e"), "abcdf");
 });
 
 const candidate = (id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -54,7 +54,10 @@
 interface Watched {
     epoch: string;
     since: number;
-    heardAt: number;
+    /** Monotonic time at which this instance first knew of it, in ms. */
+    readonly learnedAt: number;
+    /** Monotonic time of its last answer, in ms; undefined before the first. */
+    answeredAt: number | undefined;
     isReachable: boolean;
     readonly quarantined: Set<string>;
 }
@@ -96,8 +99,13 @@
 
     /** Control instances that answered within `maxAgeMs`. */
     public reachableControls(maxAgeMs: number): string[] {
-        const now = this.parts.clock.monotonic();
-        return [...this.watched].filter(([, peer]) => now - peer.heardAt <= maxAgeMs).map(([id]) => id);
+        const oldest = this.parts.clock.monotonic() - maxAgeMs;
+        return [...this.watched].filter(([, peer]) => (peer.answeredAt ?? -Infinity) >= oldest).map(([id]) => id);
+    }
+
+    /** Control instances that have not answered for over `silenceMs`, nor become known since. */
+    public silentControls(silenceMs: number): string[] {
+        return [...this.watched].filter(([, peer]) => this.silenceOf(peer) > silenceMs).map(([id]) => id);
     }
 
     /**
@@ -130,7 +138,8 @@
             const peer: Watched = {
                 epoch: "",
                 since: 0,
-                heardAt: this.parts.clock.monotonic(),
+                learnedAt: this.parts.clock.monotonic(),
+                answeredAt: undefined,
                 isReachable: false,
                 quarantined: new Set(),
             };
@@ -149,7 +158,7 @@
             }
             catch (err) {
                 this.noteContact(id, peer, false, (err as Error).message);
-                if (clock.monotonic() - peer.heardAt > FORGET_AFTER_MS && !this.parts.seeds.includes(id)) {
+                if (this.silenceOf(peer) > FORGET_AFTER_MS && !this.parts.seeds.includes(id)) {
                     this.watched.delete(id);
                     return;
                 }
@@ -188,7 +197,7 @@
     private take(peer: Watched, reply: PeerReply<"watchFleet">): void {
         peer.epoch = reply.epoch;
         peer.since = reply.version;
-        peer.heardAt = this.parts.clock.monotonic();
+        peer.answeredAt = this.parts.clock.monotonic();
         this.mostEntries = Math.max(this.mostEntries, reply.entryCount);
         peer.quarantined.clear();
         reply.quarantined.forEach(fingerprint => peer.quarantined.add(fingerprint));
@@ -219,6 +228,10 @@
         }
     }
 
+    private silenceOf(peer: Watched): number {
+        return this.parts.clock.monotonic() - (peer.answeredAt ?? peer.learnedAt);
+    }
+
     private noteContact(peerId: string, peer: Watched, isReachable: boolean, reason: string): void {
         if (peer.isReachable !== isReachable) {
             peer.isReachable = isReachable;
--- a/src/common/gateway/VoterPlan.ts
+++ b/src/common/gateway/VoterPlan.ts
@@ -6,11 +6,29 @@
 /** Most voters; five tolerate the loss of two. */
 const MAX_VOTERS = 5;
 
-/** The next set of voters, one step away; undefined when the present one is right. */
-export const nextVoters = (voters: readonly string[], reachable: readonly string[]): string[] | undefined => {
+/** What is known of the control instances. */
+export interface ControlContacts {
+    /** Those that answer, this one included. */
+    readonly reachable: readonly string[];
+    /** Those that have been silent for so long that they are taken to be gone. */
+    readonly lost: readonly string[];
+}
+
+/**
+ * The next set of voters, one step away; undefined when the present one is right. A lost voter leaves before its
+ * successor is added: the other way round, the successor would have to be reached for any change at all.
+ */
+export const nextVoters = (voters: readonly string[], { reachable, lost }: ControlContacts): string[] | undefined => {
     const candidates = reachable.filter(id => !voters.includes(id)).sort();
-    const known = new Set([...voters, ...reachable]).size;
-    const target = Math.min(MAX_VOTERS, known % 2 === 0 ? known - 1 : known);
     const [added] = candidates;
-    return voters.length < target && added !== undefined ? [...voters, added] : undefined;
+    if (added === undefined) {
+        return undefined;
+    }
+    const gone = voters.find(id => lost.includes(id));
+    if (gone !== undefined) {
+        return voters.filter(id => id !== gone);
+    }
+    const known = voters.length + candidates.length;
+    const target = Math.min(MAX_VOTERS, known % 2 === 0 ? known - 1 : known);
+    return voters.length < target ? [...voters, added] : undefined;
 };
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -4,7 +4,6 @@
  */
 import { ControlClient } from "../../common/control/ControlClient.ts";
 import { ControlLog } from "../../common/control/ControlLog.ts";
-import { VOTERS_COMMAND } from "../../common/control/EntryLog.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
@@ -12,7 +11,7 @@
 import { RolloutDriver } from "../../common/gateway/RolloutDriver.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
-import { nextVoters } from "../../common/gateway/VoterPlan.ts";
+import { VoterKeeper } from "../../common/gateway/VoterKeeper.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep } from "../../common/time/Clock.ts";
@@ -23,8 +22,10 @@
 const SUBMIT_TIMEOUT_MS = 850;
 /** Oldest proof with which the fleet is read here, in ms. */
 const READ_PROOF_MS = 900;
-/** How often the voters are looked at, in ms. */
-const VOTERS_PERIOD_MS = 1000;
+/** Silence after which a control instance is taken to be gone, in ms: longer than a restart takes. */
+const GONE_AFTER_MS = 2500;
+/** Silence after which the address of a control instance is not passed on any more, in ms. */
+const NAMED_FOR_MS = 10_000;
 /** How long the news that an upstream leaves is given to reach entry instances before it is acknowledged, in ms. */
 const SPREAD_MS = 25;
 /** How often upstreams that fell silent are dropped, in ms. */
@@ -53,7 +54,6 @@
     private readonly directory: UpstreamDirectory;
     private readonly follower: FleetFollower;
     private readonly publisher: FleetPublisher;
-    private isChangingVoters = false;
 
     public constructor(parts: ControlRoleParts) {
         super();
@@ -84,7 +84,7 @@
                 directory: this.directory,
                 fleet: () => this.fleet,
                 proofAgeMs: () => this.proofAgeMs,
-                controls: () => [network.self, ...this.follower.reachableControls(Infinity)],
+                controls: () => [network.self, ...this.follower.reachableControls(NAMED_FOR_MS)],
             }),
         );
         this.client = new ControlClient(clock, network, this.controlLog, () => this.proposers());
@@ -100,6 +100,7 @@
                     log.info("A roll-out moves on.", { service, target, from: { state, share }, to: move }),
             }),
         );
+        this.register(this.createVoterKeeper());
         this.listen();
     }
 
@@ -196,6 +197,22 @@
         return this.fleet;
     }
 
+    private createVoterKeeper(): VoterKeeper {
+        const { clock, network, log } = this.parts;
+        return new VoterKeeper({
+            clock,
+            isLeader: () => this.isLeader,
+            voters: () => this.controlLog.status.voters,
+            contacts: () => ({
+                reachable: [network.self, ...this.follower.reachableControls(2 * READ_PROOF_MS)],
+                lost: this.follower.silentControls(GONE_AFTER_MS),
+            }),
+            propose: command => this.controlLog.propose(command),
+            onChange: (from, to) => log.info("The voters change.", { from, to }),
+            onFailure: err => log.warn("The voters did not change.", { reason: err.message }),
+        });
+    }
+
     private listen(): void {
         const { network, log, clock } = this.parts;
         this.register(network.handle("watchFleet", (req, from) => {
@@ -214,7 +231,6 @@
         this.register(this.controlLog.onRoleChanged(({ role, term, leader, voters, failure }) => {
             log.info("The control log has another role.", { role, term, leader, voters, failure });
         }));
-        this.register(repeat(clock, VOTERS_PERIOD_MS, () => void this.adjustVoters()));
         this.register(repeat(clock, FORGET_PERIOD_MS, () => this.directory.forgetOld()));
     }
 
@@ -223,29 +239,6 @@
         const known = [...voters, ...this.follower.reachableControls(2 * READ_PROOF_MS)];
         return [...new Set([this.parts.network.self, ...known])];
     }
-
-    private async adjustVoters(): Promise<void> {
-        if (!this.isLeader || this.isChangingVoters) {
-            return;
-        }
-        const { voters } = this.controlLog.status;
-        const others = this.follower.reachableControls(2 * READ_PROOF_MS);
-        const next = nextVoters(voters, [this.parts.network.self, ...others]);
-        if (next === undefined) {
-            return;
-        }
-        this.isChangingVoters = true;
-        this.parts.log.info("The voters change.", { from: voters, to: next });
-        try {
-            await this.controlLog.propose({ kind: VOTERS_COMMAND, voters: [...next] });
-        }
-        catch (err) {
-            this.parts.log.warn("The voters did not change.", { reason: (err as Error).message });
-        }
-        finally {
-            this.isChangingVoters = false;
-        }
-    }
 }
 
 const describe = (command: FleetCommand): object => {
