Sessions under way keep their version whichever instance they meet

Cause: callers spread the requests of a session over all entry instances, but each instance remembered only the versions of its own runs. Change: entry instances report the drawn sessions that they keep on their version in the held call, and control instances name them to all. The first tenth of a roll-out is used for that, before its share is served. A session's memory lasts half a second longer, since its pause counts from when the caller had the answer. Ruled out: starting only sessions that are new (no request says that it is a session's first one); a smaller share (the verdict on a bad version then has too few answers). RolloutPlan.test.ts: the share is now expected after a tenth of the duration, and nothing before.

--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -7,7 +7,7 @@
 import { emptyFleet, type Fleet, type Rollout } from "./FleetState.ts";
 import { type PlacementCandidate, placeRequest } from "./Placement.ts";
 import { RepeatBudget } from "./RepeatBudget.ts";
-import { versionRule } from "./VersionRule.ts";
+import { type SessionHistory, versionRule } from "./VersionRule.ts";
 import { nextVoters } from "./VoterPlan.ts";
 
 const rollout: Rollout = {
@@ -19,24 +19,28 @@
     share: 0.1,
 };
 
+const fresh = { pinned: undefined, isHeld: false };
+const ranOn = (pinned: string): SessionHistory => ({ pinned, isHeld: false });
+
 const fleetWith = (change: Partial<Rollout>): Fleet => ({ ...emptyFleet, rollouts: [{ ...rollout, ...change }] });
 
 test("VersionRule: a session keeps its version in the first part and moves on with all others", () => {
     const keys = [...Array(1000).keys()].map(index => `session-${index}`);
-    const drawn = keys.filter(key => versionRule(fleetWith({}), "s", key, undefined).isPreferred("v2"));
+    const drawn = keys.filter(key => versionRule(fleetWith({}), "s", key, fresh).isPreferred("v2"));
     assert.ok(drawn.length > 50 && drawn.length < 150, `${drawn.length} of 1000`);
     const key = drawn[0] ?? "";
-    assert.equal(versionRule(fleetWith({}), "s", key, "v1").isAllowed("v2"), false);
-    assert.equal(versionRule(fleetWith({ share: 1 }), "s", key, "v1").isPreferred("v2"), true);
-    assert.equal(versionRule(fleetWith({}), "s", "other", "v2").isPreferred("v2"), true);
+    assert.equal(versionRule(fleetWith({}), "s", key, ranOn("v1")).isAllowed("v2"), false);
+    assert.equal(versionRule(fleetWith({ share: 1 }), "s", key, ranOn("v1")).isPreferred("v2"), true);
+    assert.equal(versionRule(fleetWith({}), "s", "other", ranOn("v2")).isPreferred("v2"), true);
+    assert.equal(versionRule(fleetWith({}), "s", key, { pinned: undefined, isHeld: true }).isAllowed("v2"), false);
 });
 
 test("VersionRule: a rejected version gets nothing, a completed one everything", () => {
-    const back = versionRule(fleetWith({ state: "rolledBack", share: 0 }), "s", "k", "v2");
+    const back = versionRule(fleetWith({ state: "rolledBack", share: 0 }), "s", "k", ranOn("v2"));
     assert.deepEqual([back.isAllowed("v1"), back.isAllowed("v2")], [true, false]);
-    const done = versionRule(fleetWith({ state: "completed", share: 1 }), "s", "k", "v1");
+    const done = versionRule(fleetWith({ state: "completed", share: 1 }), "s", "k", ranOn("v1"));
     assert.deepEqual([done.isAllowed("v1"), done.isAllowed("v2")], [false, true]);
-    assert.equal(versionRule(fleetWith({ share: 0 }), "s", "k", undefined).isAllowed("v2"), false);
+    assert.equal(versionRule(fleetWith({ share: 0 }), "s", "k", fresh).isAllowed("v2"), false);
 });
 
 test("RepeatBudget: all instances together stay below the bound in every window", () => {
--- a/src/common/gateway/FleetFollower.test.ts
+++ b/src/common/gateway/FleetFollower.test.ts
@@ -53,7 +53,7 @@
                 role: "control",
                 directory: control.directory,
                 seeds,
-                report: () => ({ outcomes: [], crashes: [] }),
+                report: () => ({ outcomes: [], crashes: [], heldSessions: [] }),
             }),
         );
         control.publisher = this.register(
@@ -86,7 +86,7 @@
                 role: "entry",
                 directory,
                 seeds,
-                report: () => ({ outcomes: [], crashes: [{ fingerprint: "f", count: 1 }] }),
+                report: () => ({ outcomes: [], crashes: [{ fingerprint: "f", count: 1 }], heldSessions: [id] }),
             }),
         );
         follower.start();
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -31,6 +31,7 @@
 export interface FollowerReport {
     readonly outcomes: readonly OutcomeCount[];
     readonly crashes: readonly { readonly fingerprint: string; readonly count: number; }[];
+    readonly heldSessions: readonly string[];
 }
 
 /** What a follower is built from. */
@@ -60,6 +61,7 @@
     answeredAt: number | undefined;
     isReachable: boolean;
     readonly quarantined: Set<string>;
+    heldSessions: ReadonlySet<string>;
 }
 
 /** Follows the fleet at every control instance that is known. */
@@ -124,6 +126,11 @@
         );
     }
 
+    /** Whether another entry instance keeps the session on its version. */
+    public isSessionHeld(session: string): boolean {
+        return [...this.watched.values()].some(peer => peer.heldSessions.has(session));
+    }
+
     public start(): void {
         this.learn(this.parts.seeds);
     }
@@ -142,6 +149,7 @@
                 answeredAt: undefined,
                 isReachable: false,
                 quarantined: new Set(),
+                heldSessions: new Set(),
             };
             this.watched.set(id, peer);
             void this.watch(id, peer);
@@ -171,7 +179,7 @@
         const { clock, network, role, report } = this.parts;
         const sentAt = clock.monotonic();
         const mayWait = this.proofAgeMs < FRESH_PROOF_MS;
-        const { outcomes, crashes } = report();
+        const { outcomes, crashes, heldSessions } = report();
         const req = {
             role,
             epoch: peer.epoch,
@@ -180,6 +188,7 @@
             revision: this.current.revision,
             outcomes: [...outcomes],
             crashes: [...crashes],
+            heldSessions: [...heldSessions],
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
         this.take(peer, reply);
@@ -201,6 +210,7 @@
         this.mostEntries = Math.max(this.mostEntries, reply.entryCount);
         peer.quarantined.clear();
         reply.quarantined.forEach(fingerprint => peer.quarantined.add(fingerprint));
+        peer.heldSessions = new Set(reply.heldSessions);
         reply.records.forEach(({ record, ageMs }) => this.parts.directory.take(record, ageMs, true));
         reply.renewals.forEach(([id, start, seq, ageMs]) => this.parts.directory.renew(id, start, seq, ageMs));
         this.learn(reply.controls);
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -36,6 +36,7 @@
     readonly role: "entry" | "control";
     seenAt: number;
     outcomes: readonly OutcomeCount[];
+    heldSessions: readonly string[];
 }
 
 /** Answers followers. */
@@ -89,7 +90,8 @@
     }
 
     private note(req: PeerRequest<"watchFleet">, from: string, now: number): void {
-        this.followers.set(from, { role: req.role, seenAt: now, outcomes: req.outcomes });
+        const { role, outcomes, heldSessions } = req;
+        this.followers.set(from, { role, seenAt: now, outcomes, heldSessions });
         this.crashes.take(from, req.crashes);
         const { size } = this.crashes.quarantined();
         if (size > this.quarantineCount) {
@@ -119,6 +121,7 @@
             controls: [...controls()],
             entryCount: entries.length,
             quarantined: [...this.crashes.quarantined()],
+            heldSessions: [...new Set(entries.flatMap(follower => follower.heldSessions))],
         };
     }
 }
--- a/src/common/gateway/RolloutPlan.test.ts
+++ b/src/common/gateway/RolloutPlan.test.ts
@@ -18,8 +18,10 @@
 
 test("RolloutPlan: a small share until the first half has passed, then all, then completion", () => {
     const counts = [count("v1", 200, 2), count("v2", 20, 0)];
-    assert.equal(planRollout(rollout, 1000, false, counts), undefined);
-    assert.equal(planRollout(rollout, 1000, true, counts)?.share, CANARY_SHARE);
+    assert.equal(planRollout(rollout, 3000, false, counts), undefined);
+    // Entry instances first tell each other which sessions are under way.
+    assert.equal(planRollout(rollout, 1900, true, counts), undefined);
+    assert.equal(planRollout(rollout, 2100, true, counts)?.share, CANARY_SHARE);
     const canary = { ...rollout, share: CANARY_SHARE };
     assert.equal(planRollout(canary, 9900, true, counts), undefined);
     assert.equal(planRollout(canary, 11_000, true, counts)?.share, 1);
--- a/src/common/gateway/RolloutPlan.ts
+++ b/src/common/gateway/RolloutPlan.ts
@@ -7,6 +7,8 @@
 
 /** Share of new sessions in the first part of a roll-out. */
 export const CANARY_SHARE = 0.08;
+/** Part of the duration in which entry instances tell each other which sessions are under way. */
+const PREPARE_UNTIL = 0.1;
 /** Part of the duration after which all sessions move, a little over the half in which sessions must stay. */
 const EXPAND_AT = 0.53;
 /** Part of the duration after which a roll-out is complete; it leaves time for the last verdict and the order. */
@@ -45,7 +47,7 @@
 };
 
 const wantedShare = (rollout: Rollout, elapsedMs: number, hasTarget: boolean): number => {
-    if (!hasTarget) {
+    if (!hasTarget || elapsedMs < rollout.durationMs * PREPARE_UNTIL) {
         return 0;
     }
     return elapsedMs >= rollout.durationMs * EXPAND_AT ? 1 : CANARY_SHARE;
--- a/src/common/gateway/SessionVersions.ts
+++ b/src/common/gateway/SessionVersions.ts
@@ -6,11 +6,19 @@
 /** Most sessions that are remembered. */
 const MAX_SESSIONS = 20_000;
 
+interface Pin {
+    readonly session: string;
+    readonly service: string;
+    readonly version: string;
+    /** Monotonic time of the last run, in ms. */
+    readonly at: number;
+}
+
 /** Versions by session and service. */
 export class SessionVersions {
     private readonly clock: Clock;
     private readonly memoryMs: number;
-    private readonly pins = new Map<string, { version: string; at: number; }>();
+    private readonly pins = new Map<string, Pin>();
 
     public constructor(clock: Clock, memoryMs: number) {
         this.clock = clock;
@@ -22,11 +30,23 @@
         return pin !== undefined && this.clock.monotonic() - pin.at <= this.memoryMs ? pin.version : undefined;
     }
 
+    /** Sessions that ran lately on a version which the test holds to be held back. */
+    public select(isHeldBack: (session: string, service: string, version: string) => boolean): string[] {
+        const oldest = this.clock.monotonic() - this.memoryMs;
+        const held: string[] = [];
+        for (const { session, service, version, at } of this.pins.values()) {
+            if (at >= oldest && isHeldBack(session, service, version)) {
+                held.push(session);
+            }
+        }
+        return held;
+    }
+
     /** Notes that a session ran, or has just ended a run, on a version. */
     public note(session: string, service: string, version: string): void {
         const key = `${service} ${session}`;
         this.pins.delete(key);
-        this.pins.set(key, { version, at: this.clock.monotonic() });
+        this.pins.set(key, { session, service, version, at: this.clock.monotonic() });
         const [oldest] = this.pins.keys();
         if (this.pins.size > MAX_SESSIONS && oldest !== undefined) {
             this.pins.delete(oldest);
--- a/src/common/gateway/VersionRule.ts
+++ b/src/common/gateway/VersionRule.ts
@@ -4,6 +4,7 @@
  */
 import { hashFraction } from "../routing/Hash.ts";
 import { type Fleet, latestRollout } from "./FleetState.ts";
+import { CANARY_SHARE } from "./RolloutPlan.ts";
 
 /** What holds for one request. */
 export interface VersionRule {
@@ -13,11 +14,32 @@
     readonly isAllowed: (version: string) => boolean;
 }
 
+/** What is known of the session of a request. */
+export interface SessionHistory {
+    /** Version on which it ran lately at this instance. */
+    readonly pinned: string | undefined;
+    /** Whether another instance keeps it on the settled version. */
+    readonly isHeld: boolean;
+}
+
+/** Whether a roll-out to `target` draws the session at this share. */
+export const isDrawn = (service: string, target: string, session: string, share: number): boolean =>
+    hashFraction(`${service}|${target}|${session}`) < share;
+
 /**
- * @param key session of the request, or its own id
- * @param pinned version on which the session ran lately
+ * Whether a session that ran on `version` is one that a roll-out has drawn, or is about to draw, and that must stay on
+ * its version. Sessions meet any entry instance, so the others have to be told.
  */
-export const versionRule = (fleet: Fleet, service: string, key: string, pinned: string | undefined): VersionRule => {
+export const isHeldBack = (fleet: Fleet, service: string, session: string, version: string): boolean => {
+    const rollout = latestRollout(fleet, service);
+    if (rollout === undefined || rollout.state !== "running" || rollout.share === 1 || version === rollout.target) {
+        return false;
+    }
+    return isDrawn(service, rollout.target, session, Math.max(CANARY_SHARE, rollout.share));
+};
+
+/** @param key session of the request, or its own id */
+export const versionRule = (fleet: Fleet, service: string, key: string, history: SessionHistory): VersionRule => {
     const rejected = fleet.rollouts
         .filter(rollout => rollout.service === service && rollout.state === "rolledBack")
         .map(rollout => rollout.target);
@@ -32,9 +54,9 @@
         return { isPreferred: isTarget, isAllowed: isTarget };
     }
     const isOld = (version: string): boolean => version !== target && isSound(version);
-    const isDrawn = hashFraction(`${service}|${target}|${key}`) < share;
-    const isPinnedOld = pinned !== undefined && pinned !== target && share < 1;
-    if (share > 0 && (pinned === target || (isDrawn && !isPinnedOld))) {
+    const { pinned, isHeld } = history;
+    const mustStay = share < 1 && (isHeld || (pinned !== undefined && pinned !== target));
+    if (share > 0 && !mustStay && (pinned === target || isDrawn(service, target, key, share))) {
         return { isPreferred: isTarget, isAllowed: version => isTarget(version) || isOld(version) };
     }
     return { isPreferred: isOld, isAllowed: isOld };
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -107,6 +107,8 @@
             outcomes: z.array(outcomeCountSchema),
             /** Requests that were in flight when upstreams crashed, counted since the sender's process started. */
             crashes: z.array(z.object({ fingerprint: z.string(), count: z.number() })),
+            /** Sessions that the sender keeps on their version, though a roll-out has drawn them. */
+            heldSessions: z.array(z.string()),
         }),
         reply: z.object({
             epoch: z.string(),
@@ -123,6 +125,8 @@
             entryCount: z.number(),
             /** Requests that no upstream may run any more. */
             quarantined: z.array(z.string()),
+            /** Sessions that some entry instance keeps on their version. */
+            heldSessions: z.array(z.string()),
         }),
     },
     fetchFleet: { req: empty, reply: z.object({ fleet: fleetSchema }) },
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -5,7 +5,7 @@
 import { ControlClient } from "../../common/control/ControlClient.ts";
 import { ControlLog } from "../../common/control/ControlLog.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
-import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
+import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
 import { type Fleet, type FleetCommand, FleetState } from "../../common/gateway/FleetState.ts";
 import { RolloutDriver } from "../../common/gateway/RolloutDriver.ts";
@@ -73,7 +73,7 @@
                 random: Math.random,
             }),
         );
-        const report = (): { outcomes: []; crashes: []; } => ({ outcomes: [], crashes: [] });
+        const report = (): FollowerReport => ({ outcomes: [], crashes: [], heldSessions: [] });
         this.follower = this.register(
             new FleetFollower({ clock, network, role: "control", directory: this.directory, seeds, report }),
         );
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -4,7 +4,7 @@
 import { type ServiceBroker } from "moleculer";
 import { CrashSuspects } from "../../common/gateway/CrashSuspects.ts";
 import { type ExchangeCodec } from "../../common/gateway/Exchange.ts";
-import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
+import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { type Fleet } from "../../common/gateway/FleetState.ts";
 import { type GatewayConfig } from "../../common/gateway/GatewayConfig.ts";
 import { ModelChoice } from "../../common/gateway/ModelChoice.ts";
@@ -15,6 +15,7 @@
 import { UpstreamBoard } from "../../common/gateway/UpstreamBoard.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { processName, UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
+import { isHeldBack } from "../../common/gateway/VersionRule.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep, within } from "../../common/time/Clock.ts";
@@ -40,6 +41,8 @@
 const INFORMED_MS = 2500;
 /** Crashed requests that are reported. */
 const MAX_CRASHES = 50;
+/** A session's pause counts from when its caller had the last answer, which is a little later than here, in ms. */
+const SESSION_MARGIN_MS = 500;
 const MS_PER_SECOND = 1000;
 
 /** What the role is built from. */
@@ -65,6 +68,7 @@
     private readonly follower: FleetFollower;
     private readonly connections: UpstreamConnections;
     private readonly outcomes = new Outcomes();
+    private readonly sessions: SessionVersions;
     private readonly suspects: CrashSuspects;
     private readonly processes = new Map<string, string>();
     private readonly door: HttpDoor | undefined;
@@ -78,6 +82,7 @@
         const { clock, network, codec, seeds, settings, log } = parts;
         const now = (): number => clock.monotonic();
         this.directory = new UpstreamDirectory(clock);
+        this.sessions = new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND + SESSION_MARGIN_MS);
         this.board = new UpstreamBoard(clock);
         this.suspects = new CrashSuspects(clock);
         this.follower = this.register(
@@ -111,11 +116,12 @@
             selector,
             attempts: this.createAttempts(budget),
             budget,
-            sessions: new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND),
+            sessions: this.sessions,
             outcomes: this.outcomes,
             fleet: () => this.follower.fleet,
             isLeased: () => this.isLeased,
             isQuarantined,
+            isSessionHeld: session => this.follower.isSessionHeld(session),
         });
         this.handler = new CallerHandler({
             clock,
@@ -283,14 +289,15 @@
         }
     }
 
-    private report(): {
-        outcomes: ReturnType<Outcomes["select"]>;
-        crashes: { fingerprint: string; count: number; }[];
-    } {
-        const running = this.follower.fleet.rollouts.filter(rollout => rollout.state === "running");
+    private report(): FollowerReport {
+        const { fleet } = this.follower;
+        const running = fleet.rollouts.filter(rollout => rollout.state === "running");
         return {
             outcomes: this.outcomes.select(service => running.some(rollout => rollout.service === service)),
             crashes: this.suspects.crashes.slice(-MAX_CRASHES),
+            heldSessions: running.length === 0
+                ? []
+                : this.sessions.select((session, service, version) => isHeldBack(fleet, service, session, version)),
         };
     }
 }
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -10,7 +10,7 @@
 import { type RepeatBudget } from "../../common/gateway/RepeatBudget.ts";
 import { type SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { type Selection, type UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
-import { versionRule } from "../../common/gateway/VersionRule.ts";
+import { type SessionHistory, versionRule } from "../../common/gateway/VersionRule.ts";
 import { type Clock, sleep } from "../../common/time/Clock.ts";
 import { type Attempt, type AttemptFailure, type Attempts } from "./Attempts.ts";
 import { type CallerReply } from "./CallerReply.ts";
@@ -62,6 +62,8 @@
     /** Whether this instance may still claim that its configuration is in force. */
     readonly isLeased: () => boolean;
     readonly isQuarantined: (fingerprint: () => string) => boolean;
+    /** Whether another entry instance keeps the session on its version. */
+    readonly isSessionHeld: (session: string) => boolean;
 }
 
 /** Progress of one request. */
@@ -117,13 +119,12 @@
 
     /** Picks an upstream, and waits a little for one when none may take the request now. */
     private async select(call: Call, state: CallState): Promise<Selection | undefined> {
-        const { clock, selector, sessions, fleet, isLeased } = this.parts;
+        const { clock, selector, fleet, isLeased } = this.parts;
         const { service, req, route } = call;
         const waitUntil = clock.monotonic() + route.objectiveMs * WAIT_PART;
         while (!call.reply.isGone && this.leftMs(call) > MIN_ATTEMPT_MS && isLeased()) {
             const key = req.session ?? req.id;
-            const pinned = req.session === undefined ? undefined : sessions.get(req.session, service.name);
-            const rule = versionRule(fleet(), service.name, key, pinned);
+            const rule = versionRule(fleet(), service.name, key, this.historyOf(req.session, service));
             const selection = selector.select({
                 service,
                 rule,
@@ -142,6 +143,13 @@
         return undefined;
     }
 
+    private historyOf(session: string | undefined, service: Service): SessionHistory {
+        const { sessions, isSessionHeld } = this.parts;
+        return session === undefined
+            ? { pinned: undefined, isHeld: false }
+            : { pinned: sessions.get(session, service.name), isHeld: isSessionHeld(session) };
+    }
+
     private send(call: Call, state: CallState, selection: Selection): Attempt {
         const { req, service, account, route } = call;
         state.tried.add(selection.name);
