--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -303,6 +303,7 @@
             if (events.length === 0) {
                 continue;
             }
+            this.noteEvents();
             if (!call.reply.hasBegun) {
                 state.splitter = splitter;
                 parts.onAnswer(call, this.selection, parts.clock.monotonic() - this.sentAt);
@@ -318,6 +319,18 @@
         return undefined;
     }
 
+    private noteEvents(): void {
+        const { state, call } = this;
+        const now = this.parts.clock.monotonic();
+        if (state.firstEventMs === undefined) {
+            state.firstEventMs = now - call.arrivedAt;
+        }
+        else {
+            state.longestPauseMs = Math.max(state.longestPauseMs, now - state.lastEventAt);
+        }
+        state.lastEventAt = now;
+    }
+
     /** From the first byte of the answer on, the prompt has been read. */
     private noteAnswered(): void {
         if (!this.isAnswered) {
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -106,6 +106,10 @@
             failedAnswer: undefined,
             lastFailure: "",
             path: [],
+            models: [],
+            firstEventMs: undefined,
+            lastEventAt: 0,
+            longestPauseMs: 0,
         };
         if (this.isClosing) {
             reply.closeAfter();
--- a/src/node/gateway/RequestLog.ts
+++ b/src/node/gateway/RequestLog.ts
@@ -64,6 +64,7 @@
             ...(call?.account === undefined ? {} : { account: call.account.name }),
             ...(req.session === undefined ? {} : { session: req.session }),
             ...(state === undefined ? {} : { upstreams: state.path }),
+            ...(call?.route.kind === "stream" ? streamFields(state) : {}),
             ...(state === undefined || state.lastFailure === "" ? {} : { lastFailure: state.lastFailure }),
             revision,
             proofAgeMs: Math.round(proofAgeMs),
@@ -95,3 +96,10 @@
         return isAllowed;
     }
 }
+
+const streamFields = (state: CallState | undefined): object =>
+    state?.firstEventMs === undefined ? { models: state?.models } : {
+        models: state.models,
+        firstEventMs: Math.round(state.firstEventMs),
+        longestPauseMs: Math.round(state.longestPauseMs),
+    };
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -80,6 +80,14 @@
     lastFailure: string;
     /** Upstreams in the order in which they were asked. */
     readonly path: string[];
+    /** Models in the same order, by their index among the route's. */
+    readonly models: number[];
+    /** Time from the arrival of the request to its first event, in ms. */
+    firstEventMs: number | undefined;
+    /** Monotonic time of the newest event, in ms. */
+    lastEventAt: number;
+    /** Longest pause between two events, in ms. */
+    longestPauseMs: number;
 }
 
 /** Routes requests. */
@@ -154,6 +162,7 @@
         const { req, service, account, route } = call;
         state.tried.add(selection.name);
         state.path.push(selection.record.id);
+        state.models.push(state.model);
         if (req.session !== undefined) {
             this.parts.sessions.note(req.session, service.name, selection.record.version);
         }
