A version whose faults never show stays within the exposure of a bad one

Cause: all sessions moved to the new version at 0.53 of a roll-out. Change: the course of a roll-out follows from the allowed exposure, which is a setting now: a third of it (5 %) as the canary share until 0.89 of the time, then all, complete at 0.965.

--- a/src/common/gateway/RolloutDriver.ts
+++ b/src/common/gateway/RolloutDriver.ts
@@ -5,7 +5,7 @@
 import { type Clock, repeat } from "../time/Clock.ts";
 import { type Fleet, type FleetCommand, type Rollout } from "./FleetState.ts";
 import { type OutcomeCount } from "./Outcomes.ts";
-import { planRollout, type RolloutMove } from "./RolloutPlan.ts";
+import { planRollout, type RolloutCourse, type RolloutMove } from "./RolloutPlan.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** How often the roll-outs are looked at, in ms. */
@@ -18,6 +18,7 @@
     readonly fleet: () => Fleet;
     readonly directory: UpstreamDirectory;
     readonly outcomes: () => readonly OutcomeCount[];
+    readonly course: RolloutCourse;
     readonly submit: (command: FleetCommand) => Promise<unknown>;
     readonly onMove: (rollout: Rollout, move: RolloutMove) => void;
 }
@@ -55,9 +56,10 @@
     }
 
     private drive(rollout: Rollout, elapsedMs: number): void {
+        const { outcomes, course } = this.parts;
         const { service, target } = rollout;
         const key = `${service} ${target}`;
-        const move = planRollout(rollout, elapsedMs, this.hasTarget(rollout), this.parts.outcomes());
+        const move = planRollout(rollout, elapsedMs, this.hasTarget(rollout), outcomes(), course);
         if (move === undefined || this.moving.has(key)) {
             return;
         }
--- a/src/common/gateway/RolloutPlan.ts
+++ b/src/common/gateway/RolloutPlan.ts
@@ -1,18 +1,28 @@
 /**
  * The course of a roll-out: a small share of new sessions first, then all of them, then completion; and the verdict
  * on a version that answers worse than the one before it. Decisions only, from counts and times.
+ *
+ * Some faults never show in a small share, such as those under a load that does not come. All requests therefore move
+ * so late that the whole roll-out stays within the exposure that a bad version may get.
  */
 import { type Rollout } from "./FleetState.ts";
 import { type OutcomeCount } from "./Outcomes.ts";
 
-/** Share of new sessions in the first part of a roll-out. */
-export const CANARY_SHARE = 0.08;
+/** Share of new sessions in the first part of a roll-out, as a part of the exposure allowed. */
+const CANARY_PART = 1 / 3;
 /** Part of the duration in which entry instances tell each other which sessions are under way. */
 const PREPARE_UNTIL = 0.1;
-/** Part of the duration after which all sessions move, a little over the half in which sessions must stay. */
-const EXPAND_AT = 0.53;
-/** Part of the duration after which a roll-out is complete; it leaves time for the last verdict and the order. */
-const COMPLETE_AT = 0.9;
+/** Earliest part of the duration after which all sessions move, a little over the half in which they must stay. */
+const EARLIEST_MOVE = 0.53;
+/** Latest such part: some time must be left before completion. */
+const LATEST_MOVE = 0.98;
+/**
+ * Part of the time after the move that is left at completion, for the commit of the order. What still runs on the old
+ * version is broken off then.
+ */
+const LEFT_AT_COMPLETION = 0.32;
+/** Least time that is left at completion, in ms: the leader looks every 200 ms, and a commit takes some 100 ms. */
+const LEAST_LEFT_MS = 500;
 /** Least failures of a bad version, so that single ones do not condemn it. */
 const MIN_FAILURES = 5;
 /** A bad version's failure rate is at least this much above the settled version's. */
@@ -22,6 +32,25 @@
 /** A bad version is at least this many times slower on some route. */
 const SLOW_FACTOR = 2.2;
 
+/** The course of a roll-out. */
+export interface RolloutCourse {
+    /** Share of new sessions in the first part, 0 to 1. */
+    readonly canaryShare: number;
+    /** Part of the duration after which all sessions move. */
+    readonly moveAt: number;
+    /** Part of the duration after which the roll-out is complete. */
+    readonly completeAt: number;
+}
+
+/** @param exposure largest share of a service's requests that a bad version may get over a roll-out, 0 to 1 */
+export const rolloutCourse = (exposure: number): RolloutCourse => {
+    const canaryShare = exposure * CANARY_PART;
+    // canaryShare * (moveAt - PREPARE_UNTIL) + (1 - moveAt) = exposure
+    const exact = (1 - exposure - canaryShare * PREPARE_UNTIL) / (1 - canaryShare);
+    const moveAt = Math.min(LATEST_MOVE, Math.max(EARLIEST_MOVE, exact));
+    return { canaryShare, moveAt, completeAt: 1 - (1 - moveAt) * LEFT_AT_COMPLETION };
+};
+
 /** What the leader should order next for a running roll-out; undefined while nothing changes. */
 export type RolloutMove = Pick<Rollout, "state" | "share"> & { readonly reason: string; };
 
@@ -34,23 +63,25 @@
     elapsedMs: number,
     hasTarget: boolean,
     counts: readonly OutcomeCount[],
+    course: RolloutCourse,
 ): RolloutMove | undefined => {
     const fault = findFault(rollout, counts);
     if (fault !== undefined) {
         return { state: "rolledBack", share: 0, reason: fault };
     }
-    if (elapsedMs >= rollout.durationMs * COMPLETE_AT) {
+    const completeMs = Math.min(rollout.durationMs * course.completeAt, rollout.durationMs - LEAST_LEFT_MS);
+    if (elapsedMs >= completeMs) {
         return hasTarget ? { state: "completed", share: 1, reason: "no fault was found in time" } : undefined;
     }
-    const share = wantedShare(rollout, elapsedMs, hasTarget);
+    const share = wantedShare(rollout, elapsedMs, hasTarget, course);
     return share > rollout.share ? { state: "running", share, reason: "time has passed without a fault" } : undefined;
 };
 
-const wantedShare = (rollout: Rollout, elapsedMs: number, hasTarget: boolean): number => {
+const wantedShare = (rollout: Rollout, elapsedMs: number, hasTarget: boolean, course: RolloutCourse): number => {
     if (!hasTarget || elapsedMs < rollout.durationMs * PREPARE_UNTIL) {
         return 0;
     }
-    return elapsedMs >= rollout.durationMs * EXPAND_AT ? 1 : CANARY_SHARE;
+    return elapsedMs >= rollout.durationMs * course.moveAt ? 1 : course.canaryShare;
 };
 
 const findFault = (rollout: Rollout, counts: readonly OutcomeCount[]): string | undefined => {
--- a/src/common/gateway/SessionVersions.test.ts
+++ b/src/common/gateway/SessionVersions.test.ts
@@ -7,11 +7,12 @@
 import { FleetFollower } from "./FleetFollower.ts";
 import { FleetPublisher } from "./FleetPublisher.ts";
 import { emptyFleet, type Fleet, type Rollout } from "./FleetState.ts";
-import { CANARY_SHARE, planRollout } from "./RolloutPlan.ts";
+import { planRollout, rolloutCourse } from "./RolloutPlan.ts";
 import { SessionVersions } from "./SessionVersions.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
 import { isHeldBack, versionRule } from "./VersionRule.ts";
 
+const COURSE = rolloutCourse(0.15);
 const SERVICE = "s";
 const ENTRIES = 8;
 const SESSION_MS = 5000;
@@ -97,7 +98,7 @@
                     outcomes: [],
                     crashes: [],
                     heldSessions: sessions.select((session, service, version) =>
-                        isHeldBack(follower.fleet, service, session, version)
+                        isHeldBack(follower.fleet, service, session, version, COURSE.canaryShare)
                     ),
                 }),
             }),
@@ -124,7 +125,7 @@
             world.change({});
         }
         const [rollout] = world.fleet.rollouts;
-        const move = rollout === undefined ? undefined : planRollout(rollout, now - ORDERED_AT_MS, true, []);
+        const move = rollout === undefined ? undefined : planRollout(rollout, now - ORDERED_AT_MS, true, [], COURSE);
         if (move !== undefined) {
             world.change(move);
         }
@@ -147,6 +148,6 @@
     for (const seed of [1, 2, 3, 4, 5]) {
         const { moved, onTarget } = await playRollout(seed);
         assert.ok(moved <= MOST_MOVED, `seed ${seed}: ${moved} requests changed the version`);
-        assert.ok(onTarget >= CANARY_SHARE * 100, `seed ${seed}: ${onTarget} requests on the new version`);
+        assert.ok(onTarget >= COURSE.canaryShare * 100, `seed ${seed}: ${onTarget} requests on the new version`);
     }
 });
--- a/src/common/gateway/VersionRule.ts
+++ b/src/common/gateway/VersionRule.ts
@@ -4,7 +4,6 @@
  */
 import { hashFraction } from "../routing/Hash.ts";
 import { type Fleet, latestRollout } from "./FleetState.ts";
-import { CANARY_SHARE } from "./RolloutPlan.ts";
 
 /** What holds for one request. */
 export interface VersionRule {
@@ -29,13 +28,21 @@
 /**
  * Whether a session that ran on `version` is one that a roll-out has drawn, or is about to draw, and that must stay on
  * its version. Sessions meet any entry instance, so the others have to be told.
+ *
+ * @param canaryShare share of the sessions that a roll-out draws at first
  */
-export const isHeldBack = (fleet: Fleet, service: string, session: string, version: string): boolean => {
+export const isHeldBack = (
+    fleet: Fleet,
+    service: string,
+    session: string,
+    version: string,
+    canaryShare: number,
+): boolean => {
     const rollout = latestRollout(fleet, service);
     if (rollout === undefined || rollout.state !== "running" || rollout.share === 1 || version === rollout.target) {
         return false;
     }
-    return isDrawn(service, rollout.target, session, Math.max(CANARY_SHARE, rollout.share));
+    return isDrawn(service, rollout.target, session, Math.max(canaryShare, rollout.share));
 };
 
 /** @param key session of the request, or its own id */
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -9,6 +9,7 @@
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
 import { type Fleet, type FleetCommand, FleetState } from "../../common/gateway/FleetState.ts";
 import { RolloutDriver } from "../../common/gateway/RolloutDriver.ts";
+import { rolloutCourse } from "../../common/gateway/RolloutPlan.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
 import { VoterKeeper } from "../../common/gateway/VoterKeeper.ts";
@@ -43,6 +44,8 @@
     readonly seeds: readonly string[];
     /** Whether the whole system starts for the first time. */
     readonly isBootstrap: boolean;
+    /** Largest share of a service's requests that a bad version may get over a roll-out, 0 to 1. */
+    readonly exposure: number;
 }
 
 /** The control side of one process. */
@@ -95,6 +98,7 @@
                 isLeader: () => this.isLeader,
                 fleet: () => this.fleet,
                 outcomes: () => this.publisher.outcomes,
+                course: rolloutCourse(parts.exposure),
                 submit: command => this.client.submit(command, SUBMIT_TIMEOUT_MS),
                 onMove: ({ service, target, state, share }, move) =>
                     log.info("A roll-out moves on.", { service, target, from: { state, share }, to: move }),
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -10,6 +10,7 @@
 import { ModelChoice } from "../../common/gateway/ModelChoice.ts";
 import { Outcomes } from "../../common/gateway/Outcomes.ts";
 import { RepeatBudget } from "../../common/gateway/RepeatBudget.ts";
+import { rolloutCourse } from "../../common/gateway/RolloutPlan.ts";
 import { RouteTable } from "../../common/gateway/RouteTable.ts";
 import { SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { UpstreamBoard } from "../../common/gateway/UpstreamBoard.ts";
@@ -291,13 +292,16 @@
 
     private report(): FollowerReport {
         const { fleet } = this.follower;
+        const { canaryShare } = rolloutCourse(this.parts.settings.bounds.rollout_exposure);
         const running = fleet.rollouts.filter(rollout => rollout.state === "running");
         return {
             outcomes: this.outcomes.select(service => running.some(rollout => rollout.service === service)),
             crashes: this.suspects.crashes.slice(-MAX_CRASHES),
             heldSessions: running.length === 0
                 ? []
-                : this.sessions.select((session, service, version) => isHeldBack(fleet, service, session, version)),
+                : this.sessions.select((session, service, version) =>
+                    isHeldBack(fleet, service, session, version, canaryShare)
+                ),
         };
     }
 }
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -132,6 +132,7 @@
             log: log.part("control"),
             seeds: this.idsOf(settings.control.seeds),
             isBootstrap: bootstrap,
+            exposure: settings.bounds.rollout_exposure,
         });
         this.control = control;
         this.lifecycle.add(part("control", () => control.start(), async () => {
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -49,6 +49,9 @@
         cold_slack: number.min(0).default(5).describe("Requests a second beyond that."),
         retry_ratio: number.min(0).default(0.9).describe("Repeats a request, summed over all instances."),
         retry_slack: number.min(0).default(50).describe("Repeats in a window beyond that share."),
+        rollout_exposure: number.min(0).max(1).default(0.15).describe(
+            "Largest share of a service's requests that a bad version may get over a roll-out.",
+        ),
         retry_window_s: number.min(0.1).default(10).describe("Length of the window, in s."),
     }).prefault({}),
     log: z.object({
