--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -220,13 +220,18 @@
         const now = parts.clock.monotonic();
         const latencyMs = now - this.sentAt;
         parts.models.note(call.route, state.model, latencyMs);
+        state.confidence = head.confidence;
         const hasRuns = state.runs + 1 < call.route.maxAttempts;
         if (call.reply.hasBegun || call.req.resumeAfter !== undefined || !hasRuns) {
             return undefined;
         }
         const doubt = { route: call.route, model: state.model, confidence: head.confidence, latencyMs };
         const next = parts.models.escalate({ ...doubt, elapsedMs: now - call.arrivedAt });
-        return next !== undefined && parts.spendRepeat(call.service.name) ? next : undefined;
+        if (next === undefined || parts.spendRepeat(call.service.name)) {
+            return next;
+        }
+        state.keptFor = "no repeats are left";
+        return undefined;
     }
 
     private notRun(head: AnswerHead): AttemptFailure {
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -102,6 +102,8 @@
             tried: new Set(),
             runs: 0,
             model: 0,
+            confidence: undefined,
+            keptFor: undefined,
             splitter: undefined,
             failedAnswer: undefined,
             lastFailure: "",
--- a/src/node/gateway/RequestLog.ts
+++ b/src/node/gateway/RequestLog.ts
@@ -100,6 +100,8 @@
 const streamFields = (state: CallState | undefined): object =>
     state?.firstEventMs === undefined ? { models: state?.models } : {
         models: state.models,
+        ...(state.confidence === undefined ? {} : { confidence: state.confidence }),
+        ...(state.keptFor === undefined ? {} : { keptFor: state.keptFor }),
         firstEventMs: Math.round(state.firstEventMs),
         longestPauseMs: Math.round(state.longestPauseMs),
     };
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -73,6 +73,10 @@
     runs: number;
     /** Index among the route's models. */
     model: number;
+    /** Confidence of the newest answer in itself, 0 to 100. */
+    confidence: number | undefined;
+    /** Why a doubtful answer was kept, if not for the time that another one would take. */
+    keptFor: string | undefined;
     /** Whether a stream has begun. */
     splitter: EventSplitter | undefined;
     /** The newest answer with which an upstream reported a failure. */
