An answer that a working upstream has lost goes on elsewhere before its caller leaves

Change: StallRule, apart from input and output: twice the objective for the first event, three times the longest pause later, if another attempt is left.

--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -5,6 +5,7 @@
 import { EventSplitter } from "../../common/gateway/EventSplitter.ts";
 import { type AnswerHead, type ExchangeCodec } from "../../common/gateway/Exchange.ts";
 import { type ModelChoice } from "../../common/gateway/ModelChoice.ts";
+import { isStalled } from "../../common/gateway/StallRule.ts";
 import { type UpstreamBoard } from "../../common/gateway/UpstreamBoard.ts";
 import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { connectionsOf, type Selection } from "../../common/gateway/UpstreamSelector.ts";
@@ -18,11 +19,6 @@
 /** An upstream is taken for dead when it has neither checked in nor sent a byte for these times, in ms. */
 const SILENT_CHECK_IN_MS = 3500;
 const SILENT_BYTES_MS = 1500;
-/** A stream has stalled after this many of its longest pauses that are still on time, and after this time, in ms. */
-const STALL_FACTOR = 1.2;
-const MIN_STALL_MS = 700;
-/** A stream whose first event is due has stalled after twice its objective, and after this time, in ms. */
-const MIN_FIRST_MS = 2500;
 /** An idempotent call of a plain service is repeated elsewhere after this many times its objective. */
 const SLOW_FACTOR = 2;
 const MIN_SLOW_MS = 300;
@@ -156,8 +152,10 @@
         }
         const isRepeatable = call.route.kind === "idempotent" || call.route.isResumable;
         const silentMs = now - Math.max(this.sentAt, this.exchange.heardAt);
-        const isStalled = silentMs > this.stallMs() && now - stats.heardAt > this.stallMs();
-        if (isRepeatable && isStalled) {
+        const hasBegun = this.exchange.heardAt > -Infinity;
+        const hasAttempts = this.state.runs + 1 < call.route.maxAttempts;
+        const upstreamSilentMs = now - stats.heardAt;
+        if (isStalled({ route: call.route, hasBegun, silentMs, upstreamSilentMs, hasAttempts })) {
             this.exchange.abort(`upstream ${name} has stalled`);
             return;
         }
@@ -169,22 +167,11 @@
             return;
         }
         const slowMs = Math.max(MIN_SLOW_MS, call.route.objectiveMs * SLOW_FACTOR);
-        const mayRepeat = call.route.kind === "idempotent" && this.state.runs + 1 < call.route.maxAttempts;
-        if (mayRepeat && silentMs > slowMs) {
+        if (call.route.kind === "idempotent" && hasAttempts && silentMs > slowMs) {
             this.exchange.abort(`upstream ${name} is slow`);
         }
     }
 
-    /** Time after which a stream has stalled, unless its upstream sends something on other connections, in ms. */
-    private stallMs(): number {
-        const { gapMs, objectiveMs, isResumable } = this.call.route;
-        const hasBegun = this.exchange.heardAt > -Infinity;
-        if (!isResumable) {
-            return Infinity;
-        }
-        return hasBegun ? Math.max(MIN_STALL_MS, gapMs * STALL_FACTOR) : Math.max(MIN_FIRST_MS, objectiveMs * 2);
-    }
-
     private async exchangeAll(): Promise<AttemptFailure | undefined> {
         const { parts, selection: { stats } } = this;
         const raw = await this.exchange.head();
