An instance without news from control keeps the answer that it has

Change: ModelChoice keeps the answer unless news from control arrives; the reason of the refusal names the cut.

--- a/src/common/gateway/ModelChoice.ts
+++ b/src/common/gateway/ModelChoice.ts
@@ -23,6 +23,8 @@
     readonly elapsedMs: number;
     /** Time from sending the attempt to the beginning of its answer, in ms. */
     readonly latencyMs: number;
+    /** Whether news from control arrives; without it this instance may soon have to refuse, or reach no other upstream. */
+    readonly isInformed: boolean;
 }
 
 /** Chooses models of one instance's requests. */
@@ -37,9 +39,9 @@
     }
 
     /** Index of the model that should answer instead; undefined when the answer is kept. */
-    public escalate({ route, model, confidence, elapsedMs, latencyMs }: Doubt): number | undefined {
+    public escalate({ route, model, confidence, elapsedMs, latencyMs, isInformed }: Doubt): number | undefined {
         const largest = route.models.length - 1;
-        if (model >= largest || confidence === undefined || confidence >= KEEP_CONFIDENCE) {
+        if (!isInformed || model >= largest || confidence === undefined || confidence >= KEEP_CONFIDENCE) {
             return undefined;
         }
         const expectedMs = this.latencies.get(`${route.name} ${largest}`) ?? latencyMs * ASSUMED_FACTOR;
--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -213,7 +213,11 @@
             return undefined;
         }
         const doubt = { route: call.route, model: state.model, confidence: head.confidence, latencyMs };
-        const next = parts.models.escalate({ ...doubt, elapsedMs: now - call.arrivedAt });
+        const next = parts.models.escalate({
+            ...doubt,
+            elapsedMs: now - call.arrivedAt,
+            isInformed: parts.isInformed(),
+        });
         if (next === undefined || parts.spendRepeat(call.service.name)) {
             return next;
         }
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -110,7 +110,8 @@
                 break;
             }
             if (selection === undefined) {
-                return this.giveUp(call, state, "no upstream may take the request");
+                const reason = this.parts.isLeased() ? "no upstream may take the request" : "cut off from control";
+                return this.giveUp(call, state, reason);
             }
             const attempt = this.send(call, state, selection);
             const result = await attempt.run();
