Tests end after a failed assertion, and wait for their requests to run before they stop an instance

The assertion itself failed in 1 of 8 runs beside 16 busy processes: [200, 200, 200, 503, 503], as the stop came 100 ms after the requests were sent, when two had not arrived; a 503 of a stopping instance for a request that it has not taken is allowed. All assertions are as they were.

--- a/src/cli/Serve.test.ts
+++ b/src/cli/Serve.test.ts
@@ -35,8 +35,9 @@
     }
 };
 
-test("SIGTERM cuts no request, SIGKILL is survived, and the sheet is in force again", async () => {
+test("SIGTERM cuts no request, SIGKILL is survived, and the sheet is in force again", async context => {
     const folder = await mkdtemp(join(tmpdir(), "serve-"));
+    context.after(() => rm(folder, { recursive: true, force: true }));
     const [callers, admin, upstreams] = await freePorts(3);
     const config = join(folder, "a-1.ini");
     const sheet = join(folder, "sheet.csv");
@@ -66,26 +67,31 @@
         }).then(answer => answer.status);
     const isReady = async (): Promise<boolean> => (await fetch(`http://127.0.0.1:${admin}/ready`)).status === 200;
 
-    const first = serve(config);
+    const start = (): ReturnType<typeof serve> => {
+        const child = serve(config);
+        context.after(() => child.process.kill("SIGKILL"));
+        return child;
+    };
+    const first = start();
     await until(isReady);
+    context.after(() => engine.stop());
     await engine.start("one");
     await until(async () => await ask() === 200);
+    const startedBefore = engine.started;
     const inFlight = [ask(), ask(), ask()];
-    await new Promise(resolve => setTimeout(resolve, ANSWER_MS / 3));
+    await until(async () => engine.started === startedBefore + inFlight.length);
     first.process.kill("SIGTERM");
     assert.deepEqual(await Promise.all(inFlight), [200, 200, 200]);
     assert.equal(await first.exited, 0);
     assert.match(first.log(), /The instance has stopped/);
 
-    const second = serve(config);
+    const second = start();
     await until(isReady);
     second.process.kill("SIGKILL");
     await second.exited;
-    const third = serve(config);
+    const third = start();
     await until(isReady);
     await until(async () => await ask() === 200);
     third.process.kill("SIGTERM");
     assert.equal(await third.exited, 0);
-    engine.stop();
-    await rm(folder, { recursive: true, force: true });
 });
--- a/src/node/Instance.test.ts
+++ b/src/node/Instance.test.ts
@@ -13,8 +13,9 @@
 ];
 const rows = [domainRow("a"), domainRow("b"), accountRow("x"), versionRow("m", "v1", 100), allowModel("x", "m")];
 
-test("a planned stop finishes requests in flight; a restarted instance returns to the sheet in force", async () => {
+test("a planned stop finishes requests in flight; a restarted instance returns to the sheet in force", async context => {
     const deployment = new Deployment("stop");
+    context.after(() => deployment.stop());
     await deployment.start(plans);
     await deployment.submitSheet("a-2", sheetText(1, rows));
     await deployment.waitForSheet(1);
@@ -27,13 +28,15 @@
         versions,
         firstTokenMs: 400,
     });
+    context.after(() => engine.stop());
     await engine.start("one");
     await deployment.waitForUpstreams(1);
     const body = { model: "m", messages: [{ role: "user", content: "hi" }] };
     await deployment.waitFor("an answer", async () => (await deployment.chat("b-1", "key-x", body)).status === 200);
 
+    const startedBefore = engine.started;
     const inFlight = [...Array(5).keys()].map(() => deployment.chat("b-1", "key-x", body));
-    await new Promise(resolve => setTimeout(resolve, 100));
+    await deployment.waitFor("all requests to run", async () => engine.started === startedBefore + inFlight.length);
     const stopped = deployment.stopInstance("b-1");
     assert.deepEqual((await Promise.all(inFlight)).map(answer => answer.status), [200, 200, 200, 200, 200]);
     await stopped;
@@ -42,12 +45,11 @@
     assert.equal(next.status, 200, "two of three voters are enough");
     await deployment.startInstance("b-1");
     await deployment.waitForSheet(2);
-    engine.stop();
-    await deployment.stop();
 });
 
-test("the admin API serves every route of its description, and only to operators with the role", async () => {
+test("the admin API serves every route of its description, and only to operators with the role", async context => {
     const deployment = new Deployment("admin");
+    context.after(() => deployment.stop());
     await deployment.start([{ id: "a-1", domain: "a", isControl: true }]);
     await deployment.submitSheet(
         "a-1",
@@ -84,5 +86,4 @@
     assert.equal(asReader.status, 403);
     const asNobody = await fetch(`${deployment.urls("a-1").admin}/admin/v1/status`);
     assert.equal(asNobody.status, 401);
-    await deployment.stop();
 });
--- a/src/node/gateway/UpstreamConnections.test.ts
+++ b/src/node/gateway/UpstreamConnections.test.ts
@@ -86,11 +86,11 @@
     assert.equal(result.wasSent, true);
 });
 
-test("UpstreamConnections: a refused connection proves that nothing was sent", async () => {
+test("UpstreamConnections: a refused connection proves that nothing was sent", async context => {
     const connections = new UpstreamConnections(() => performance.now());
+    context.after(() => connections.dispose());
     const sent = connections.send("u 1", "127.0.0.1:1", 1, { method: "GET", path: "/", headers: [], body: undefined });
     const head = await sent.head();
     assert.ok(isFailure(head));
     assert.equal(head.wasSent, false);
-    connections.dispose();
 });
--- a/src/node/http/Certificates.test.ts
+++ b/src/node/http/Certificates.test.ts
@@ -44,7 +44,7 @@
         socket.on("error", reject);
     });
 
-test("a door speaks TLS, and takes a renewed certificate without a restart", async () => {
+test("a door speaks TLS, and takes a renewed certificate without a restart", async context => {
     const folder = await mkdtemp(join(tmpdir(), "tls-"));
     makeCertificate(folder, "first");
     const clock = new ManualClock();
@@ -63,6 +63,12 @@
         async (...[, res]) => sendJson(res, 200, {}),
         { certificates },
     );
+    context.after(async () => {
+        await door.stop();
+        certificates.dispose();
+        await broker.stop();
+        await rm(folder, { recursive: true, force: true });
+    });
     await broker.start();
     await door.start();
     assert.equal(await subjectAt(door.port), "first");
@@ -74,8 +80,4 @@
     clock.advance(2000);
     await renewed;
     assert.equal(await subjectAt(door.port), "second");
-    await door.stop();
-    certificates.dispose();
-    await broker.stop();
-    await rm(folder, { recursive: true, force: true });
 });
