--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -43,16 +43,33 @@
     assert.equal(versionRule(fleetWith({ share: 0 }), "s", "k", fresh).isAllowed("v2"), false);
 });
 
-test("RepeatBudget: all instances together stay below the bound in every window", () => {
+const repeatBounds = { ratio: 0.9, slack: 56, windowMs: 10_000 };
+const ENTRIES = 8;
+/** Requests that each instance takes. */
+const REQUESTS_PER_SECOND = 5;
+
+const createBudgets = (): { clock: ManualClock; budgets: RepeatBudget[]; } => {
     const clock = new ManualClock(0);
-    const bounds = { ratio: 0.9, slack: 56, windowMs: 10_000 };
-    const entries = 8;
-    const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, bounds, () => entries));
+    const budgets = Array.from({ length: ENTRIES }, () => new RepeatBudget(clock, repeatBounds, () => ENTRIES));
+    return { clock, budgets };
+};
+
+/** No window that begins before second `end` may hold more repeats than all instances together may spend. */
+const assertWithinBounds = (spentAt: readonly number[], end: number): void => {
+    for (let from = 0; from < end; from++) {
+        const spent = spentAt.filter(at => at >= from && at < from + 10).length;
+        const requests = REQUESTS_PER_SECOND * ENTRIES * 10;
+        const allowed = requests * repeatBounds.ratio + repeatBounds.slack;
+        assert.ok(spent <= allowed, `${spent} repeats from second ${from}`);
+    }
+};
+
+test("RepeatBudget: all instances together stay below the bound in every window", () => {
+    const { clock, budgets } = createBudgets();
     const spentAt: number[] = [];
-    const requestsPerSecond = 5;
     for (let second = 0; second < 40; second++) {
         for (const budget of budgets) {
-            for (let request = 0; request < requestsPerSecond; request++) {
+            for (let request = 0; request < REQUESTS_PER_SECOND; request++) {
                 budget.earn("s");
                 while (budget.spend("s")) {
                     spentAt.push(second);
@@ -61,23 +78,15 @@
         }
         clock.advance(1000);
     }
-    for (let from = 0; from < 30; from++) {
-        const spent = spentAt.filter(at => at >= from && at < from + 10).length;
-        const requests = requestsPerSecond * entries * 10;
-        assert.ok(spent <= requests * bounds.ratio + bounds.slack, `${spent} repeats from second ${from}`);
-    }
+    assertWithinBounds(spentAt, 30);
 });
 
 test("RepeatBudget: savings that are spent all at once stay below the bound, also beside those that go on", () => {
-    const clock = new ManualClock(0);
-    const bounds = { ratio: 0.9, slack: 56, windowMs: 10_000 };
-    const entries = 8;
-    const budgets = Array.from({ length: entries }, () => new RepeatBudget(clock, bounds, () => entries));
+    const { clock, budgets } = createBudgets();
     const spentAt: number[] = [];
-    const requestsPerSecond = 5;
     for (let second = 0; second < 60; second++) {
         for (const budget of budgets) {
-            for (let request = 0; request < requestsPerSecond; request++) {
+            for (let request = 0; request < REQUESTS_PER_SECOND; request++) {
                 budget.earn("s");
             }
             // A third of the requests move to a larger model; in second 40 every stream breaks.
@@ -90,11 +99,7 @@
     }
     const burst = spentAt.filter(at => at === 40).length;
     assert.ok(burst > 60, `only ${burst} repeats when every stream broke`);
-    for (let from = 0; from < 50; from++) {
-        const spent = spentAt.filter(at => at >= from && at < from + 10).length;
-        const requests = requestsPerSecond * entries * 10;
-        assert.ok(spent <= requests * bounds.ratio + bounds.slack, `${spent} repeats from second ${from}`);
-    }
+    assertWithinBounds(spentAt, 50);
 });
 
 test("ColdLimiter: all instances together send a cold upstream less than it bears in every second", () => {
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -102,7 +102,7 @@
 }
 
 /** The state after a command; the same object when it changes nothing. */
-export const applyCommand = (fleet: Fleet, command: FleetCommand): Fleet => {
+const applyCommand = (fleet: Fleet, command: FleetCommand): Fleet => {
     switch (command.kind) {
         case "declare":
             return command.version > fleet.configVersion
--- a/src/common/gateway/Outcomes.ts
+++ b/src/common/gateway/Outcomes.ts
@@ -44,7 +44,7 @@
     }
 
     private countOf(service: string, version: string, route: string): MutableCount {
-        const key = `${service}\n${version}\n${route}`;
+        const key = keyOf({ service, version, route });
         const known = this.counts.get(key);
         if (known !== undefined) {
             return known;
@@ -55,11 +55,14 @@
     }
 }
 
+const keyOf = ({ service, version, route }: Pick<OutcomeCount, "service" | "version" | "route">): string =>
+    `${service}\n${version}\n${route}`;
+
 /** Adds the counts of several instances up. */
 export const sumOutcomes = (lists: Iterable<readonly OutcomeCount[]>): OutcomeCount[] => {
     const sums = new Map<string, MutableCount>();
     for (const count of [...lists].flat()) {
-        const key = `${count.service}\n${count.version}\n${count.route}`;
+        const key = keyOf(count);
         const sum = sums.get(key);
         if (sum === undefined) {
             sums.set(key, { ...count });
--- a/src/common/gateway/SessionVersions.ts
+++ b/src/common/gateway/SessionVersions.ts
@@ -45,11 +45,19 @@
     /** Notes that a session ran, or has just ended a run, on a version. */
     public note(session: string, service: string, version: string): void {
         const key = `${service} ${session}`;
+        const now = this.clock.monotonic();
         this.pins.delete(key);
-        this.pins.set(key, { session, service, version, at: this.clock.monotonic() });
-        const [oldest] = this.pins.keys();
-        if (this.pins.size > MAX_SESSIONS && oldest !== undefined) {
-            this.pins.delete(oldest);
+        this.pins.set(key, { session, service, version, at: now });
+        this.forgetOld(now);
+    }
+
+    /** The map is in the order of the last runs. */
+    private forgetOld(now: number): void {
+        for (const [key, { at }] of this.pins) {
+            if (now - at <= this.memoryMs && this.pins.size <= MAX_SESSIONS) {
+                return;
+            }
+            this.pins.delete(key);
         }
     }
 }
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -4,7 +4,7 @@
  */
 import { Emitter } from "../lifecycle/Emitter.ts";
 import { type Clock } from "../time/Clock.ts";
-import { type HeardRecord, isNewerRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
+import { addressOf, type HeardRecord, isNewerRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
 
 /** How long an upstream is kept without a statement, in ms; its own traffic tells sooner whether it lives. */
 const FORGET_AFTER_MS = 30_000;
@@ -74,7 +74,7 @@
         if (known !== undefined && !isNewerRecord(record, known.record)) {
             return false;
         }
-        const address = `${record.host}:${record.port}`;
+        const address = addressOf(record);
         const holder = this.holderOf(address, record.id);
         if (holder !== undefined && record.state !== "gone") {
             if (holder.record.start > record.start) {
@@ -143,7 +143,7 @@
         for (const [id, entry] of this.entries) {
             if (now - entry.heardAt > FORGET_AFTER_MS) {
                 this.entries.delete(id);
-                const address = `${entry.record.host}:${entry.record.port}`;
+                const address = addressOf(entry.record);
                 if (this.byAddress.get(address) === id) {
                     this.byAddress.delete(address);
                 }
@@ -166,7 +166,7 @@
             contentChange: this.changes,
         });
         if (record.state !== "gone") {
-            this.byAddress.set(`${record.host}:${record.port}`, record.id);
+            this.byAddress.set(addressOf(record), record.id);
         }
         this.changed.fire({ record, isUrgent });
     }
--- a/src/common/gateway/UpstreamRecord.ts
+++ b/src/common/gateway/UpstreamRecord.ts
@@ -26,6 +26,9 @@
 /** A statement of one upstream. */
 export type UpstreamRecord = z.infer<typeof upstreamRecordSchema>;
 
+/** Address at which an upstream listens. */
+export const addressOf = ({ host, port }: Pick<UpstreamRecord, "host" | "port">): string => `${host}:${port}`;
+
 const stateRank = { ready: 0, draining: 1, gone: 2 } as const;
 
 /** Whether `news` replaces `known`. A process that leaves never becomes ready again. */
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -43,6 +43,11 @@
     readonly stats: UpstreamStats;
 }
 
+interface Usable extends HeardRecord {
+    readonly name: string;
+    readonly stats: UpstreamStats;
+}
+
 /** What a selector works with. */
 export interface SelectorParts {
     readonly clock: Clock;
@@ -73,29 +78,29 @@
     public select(req: SelectionRequest): Selection | undefined {
         const usable = this.usable(req);
         const preferred = usable.filter(({ record }) => req.rule.isPreferred(record.version));
-        const heard = preferred.length > 0 ? preferred : usable;
-        const candidates = heard.map(item => this.candidate(item));
+        const choice = preferred.length > 0 ? preferred : usable;
+        const candidates = choice.map(item => this.candidate(item));
         const { domain } = this.parts;
         const best = placeRequest(
             { domain, affinity: affinityOf(req.prompt), isEngine: isEngine(req.service), key: req.key },
             candidates,
         );
-        const record = heard.find(item => processName(item.record) === best?.id)?.record;
-        if (record === undefined) {
+        const chosen = choice.find(({ name }) => name === best?.id);
+        if (chosen === undefined) {
             return undefined;
         }
-        const name = processName(record);
-        if (this.isCold(record, this.parts.directory.get(record.id)?.heardAt ?? 0)) {
+        const { record, name, stats } = chosen;
+        if (this.isCold(chosen)) {
             this.cold.noteStart(name);
         }
-        return { record, name, stats: this.parts.board.of(name) };
+        return { record, name, stats };
     }
 
-    private usable(req: SelectionRequest): HeardRecord[] {
+    private usable(req: SelectionRequest): Usable[] {
         const { directory, board, clock, fleet } = this.parts;
         const { drainedDomains } = fleet();
         const now = clock.monotonic();
-        const found: HeardRecord[] = [];
+        const found: Usable[] = [];
         for (const heard of directory.all()) {
             const { record } = heard;
             if (record.service !== req.service.name || record.state !== "ready") {
@@ -106,9 +111,9 @@
             const isOpen = now >= stats.pausedUntil && !this.isFull(req.service, record, stats);
             if (
                 isOpen && !req.tried.has(name) && !drainedDomains.includes(record.domain)
-                && req.rule.isAllowed(record.version) && this.mayWarm(req.service, heard)
+                && req.rule.isAllowed(record.version) && this.mayWarm(req.service, heard, name)
             ) {
-                found.push(heard);
+                found.push({ record, heardAt: heard.heardAt, name, stats });
             }
         }
         return found;
@@ -122,24 +127,22 @@
         return stats.inFlight >= connections || isQueueLong;
     }
 
-    private mayWarm(service: Service, { record, heardAt }: HeardRecord): boolean {
-        if (!this.isCold(record, heardAt) || service.coldPerSecond <= 0) {
+    private mayWarm(service: Service, heard: HeardRecord, name: string): boolean {
+        if (!this.isCold(heard) || service.coldPerSecond <= 0) {
             return true;
         }
         const rate = { perSecond: service.coldPerSecond, ...this.parts.coldBounds };
-        return this.cold.mayStart(processName(record), rate, this.parts.entryCount());
+        return this.cold.mayStart(name, rate, this.parts.entryCount());
     }
 
-    private isCold(record: UpstreamRecord, heardAt: number): boolean {
+    private isCold({ record, heardAt }: HeardRecord): boolean {
         return record.coldMs > 0 && this.parts.clock.monotonic() < heardAt + record.coldMs;
     }
 
-    private candidate({ record, heardAt }: HeardRecord): PlacementCandidate {
+    private candidate({ record, heardAt, name, stats }: Usable): PlacementCandidate {
         const { board, clock } = this.parts;
-        const id = processName(record);
-        const stats = board.of(id);
         return {
-            id,
+            id: name,
             domain: record.domain,
             slots: record.slots,
             running: board.estimateRunning(stats),
--- a/src/common/gateway/VersionRule.ts
+++ b/src/common/gateway/VersionRule.ts
@@ -22,7 +22,7 @@
 }
 
 /** Whether a roll-out to `target` draws the session at this share. */
-export const isDrawn = (service: string, target: string, session: string, share: number): boolean =>
+const isDrawn = (service: string, target: string, session: string, share: number): boolean =>
     hashFraction(`${service}|${target}|${session}`) < share;
 
 /**
--- a/src/node/gateway/Attempts.ts
+++ b/src/node/gateway/Attempts.ts
@@ -8,11 +8,12 @@
 import { isStalled } from "../../common/gateway/StallRule.ts";
 import { type UpstreamBoard } from "../../common/gateway/UpstreamBoard.ts";
 import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
+import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
 import { connectionsOf, type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Clock, repeat } from "../../common/time/Clock.ts";
 import { type Call, type CallState } from "./RequestRouter.ts";
-import { type Exchange, isFailure, type UpstreamConnections } from "./UpstreamConnections.ts";
+import { type Exchange, type ExchangeFailure, isFailure, type UpstreamConnections } from "./UpstreamConnections.ts";
 
 /** How often the attempts are looked at, in ms. */
 const WATCH_PERIOD_MS = 100;
@@ -77,7 +78,7 @@
         const { record, name } = selection;
         const exchange = connections.send(
             name,
-            `${record.host}:${record.port}`,
+            addressOf(record),
             connectionsOf(call.service, entryCount()),
             { method: call.req.method, path: call.req.path, headers, body: call.body },
         );
@@ -177,7 +178,7 @@
         const raw = await this.exchange.head();
         this.noteAnswered();
         if (isFailure(raw)) {
-            return this.failed(raw.message, raw.wasSent, raw.isBroken, raw.isAborted);
+            return this.failed(raw);
         }
         stats.heardAt = parts.clock.monotonic();
         const head = parts.codec.readHead(raw.status, raw.headers);
@@ -188,7 +189,7 @@
             return this.notRun(head);
         }
         if (head.requestId !== this.call.req.id || !head.isSigned || head.isEncoded) {
-            return this.failed("the answer belongs to no request of ours", true, false, false);
+            return this.failed({ ...unsound, message: "the answer belongs to no request of ours" });
         }
         const isStream = this.call.route.kind === "stream" && isSuccess(head.status);
         const nextModel = isStream ? this.findBetterModel(head) : undefined;
@@ -238,7 +239,7 @@
         };
     }
 
-    private failed(message: string, wasSent: boolean, isBroken: boolean, isAborted: boolean): AttemptFailure {
+    private failed({ message, wasSent, isBroken, isAborted }: ExchangeFailure): AttemptFailure {
         const { parts, selection, call } = this;
         if (!isAborted || !call.reply.isGone) {
             parts.board.noteFailure(selection.stats);
@@ -261,7 +262,7 @@
         for (;;) {
             const part = await this.exchange.next();
             if (isFailure(part)) {
-                return this.failed(part.message, true, part.isBroken, part.isAborted);
+                return this.failed(part);
             }
             if (part === undefined) {
                 break;
@@ -289,7 +290,7 @@
         for (;;) {
             const part = await this.exchange.next();
             if (isFailure(part)) {
-                return this.failed(part.message, true, part.isBroken, part.isAborted);
+                return this.failed(part);
             }
             if (part === undefined) {
                 break;
@@ -308,7 +309,7 @@
             await call.reply.write(events);
         }
         if (splitter.restLength > 0 || !call.reply.hasBegun) {
-            return this.failed("the stream ended within an event", true, true, false);
+            return this.failed({ ...unsound, message: "the stream ended within an event", isBroken: true });
         }
         parts.board.noteSuccess(stats);
         call.reply.end();
@@ -336,4 +337,7 @@
     }
 }
 
+/** What holds of an answer that has come, but can't be used. */
+const unsound = { wasSent: true, isBroken: false, isAborted: false } as const;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
--- a/src/node/gateway/ControlRole.ts
+++ b/src/node/gateway/ControlRole.ts
@@ -11,18 +11,21 @@
 import { RolloutDriver } from "../../common/gateway/RolloutDriver.ts";
 import { rolloutCourse } from "../../common/gateway/RolloutPlan.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
-import { type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
+import { addressOf, type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
 import { VoterKeeper } from "../../common/gateway/VoterKeeper.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
 import { type FileLogStore } from "../storage/FileLogStore.ts";
+import { logContacts } from "./ContactLog.ts";
 
 /** Time in which a change must be committed before its sender is told to ask again, in ms. */
 const SUBMIT_TIMEOUT_MS = 850;
 /** Oldest proof with which the fleet is read here, in ms. */
 const READ_PROOF_MS = 900;
+/** Silence up to which another control instance is taken to answer, in ms: two proofs. */
+const REACHABLE_FOR_MS = 2 * READ_PROOF_MS;
 /** Silence after which a control instance is taken to be gone, in ms: longer than a restart takes. */
 const GONE_AFTER_MS = 2500;
 /** Silence after which the address of a control instance is not passed on any more, in ms. */
@@ -44,6 +47,8 @@
     readonly seeds: readonly string[];
     /** Whether the whole system starts for the first time. */
     readonly isBootstrap: boolean;
+    /** Uniform in [0, 1). */
+    readonly random: () => number;
     /** Largest share of a service's requests that a bad version may get over a roll-out, 0 to 1. */
     readonly exposure: number;
 }
@@ -61,7 +66,7 @@
     public constructor(parts: ControlRoleParts) {
         super();
         this.parts = parts;
-        const { clock, network, store, seeds, isBootstrap, log } = parts;
+        const { clock, network, store, seeds, isBootstrap, log, random } = parts;
         this.directory = new UpstreamDirectory(clock);
         this.controlLog = this.register(
             new ControlLog({
@@ -73,7 +78,7 @@
                 snapshotAfter: SNAPSHOT_AFTER,
                 recovers: true,
                 electsEarly: true,
-                random: Math.random,
+                random,
             }),
         );
         const report = (): FollowerReport => ({ outcomes: [], crashes: [], heldSessions: [] });
@@ -150,7 +155,7 @@
         }
         const isKnown = before?.start === record.start;
         if (!isKnown || before.state !== record.state) {
-            const { id, start, service, version, domain, state, coldMs, host, port } = record;
+            const { id, start, service, version, domain, state, coldMs } = record;
             this.parts.log.info("An upstream has checked in.", {
                 upstream: id,
                 start,
@@ -159,7 +164,7 @@
                 domain,
                 state,
                 coldMs,
-                address: `${host}:${port}`,
+                address: addressOf(record),
             });
         }
         if (record.state === "draining" && before?.state !== "draining") {
@@ -201,6 +206,11 @@
         return this.fleet;
     }
 
+    /** Other control instances that answer. */
+    private get reachable(): string[] {
+        return this.follower.reachableControls(REACHABLE_FOR_MS);
+    }
+
     private createVoterKeeper(): VoterKeeper {
         const { clock, network, log } = this.parts;
         return new VoterKeeper({
@@ -208,7 +218,7 @@
             isLeader: () => this.isLeader,
             voters: () => this.controlLog.status.voters,
             contacts: () => ({
-                reachable: [network.self, ...this.follower.reachableControls(2 * READ_PROOF_MS)],
+                reachable: [network.self, ...this.reachable],
                 lost: this.follower.silentControls(GONE_AFTER_MS),
             }),
             propose: command => this.controlLog.propose(command),
@@ -229,9 +239,7 @@
         this.register(network.handle("fetchFleet", () => ({ fleet: this.fleet })));
         this.register(this.state.onChanged(() => this.publisher.flush()));
         this.register(this.follower.onFleetChanged(() => this.publisher.flush()));
-        this.register(this.follower.onContactChanged(({ peer, isReachable, reason }) => {
-            log.info(isReachable ? "A control instance is reached." : "A control instance is lost.", { peer, reason });
-        }));
+        this.register(logContacts(this.follower, log));
         this.register(this.controlLog.onRoleChanged(({ role, term, leader, voters, failure }) => {
             log.info("The control log has another role.", { role, term, leader, voters, failure });
         }));
@@ -240,8 +248,7 @@
 
     private proposers(): string[] {
         const { voters } = this.controlLog.status;
-        const known = [...voters, ...this.follower.reachableControls(2 * READ_PROOF_MS)];
-        return [...new Set([this.parts.network.self, ...known])];
+        return [...new Set([this.parts.network.self, ...voters, ...this.reachable])];
     }
 }
 
--- a/src/node/gateway/EntryRole.ts
+++ b/src/node/gateway/EntryRole.ts
@@ -24,6 +24,7 @@
 import { type Log } from "../log/Log.ts";
 import { Attempts } from "./Attempts.ts";
 import { CallerHandler } from "./CallerHandler.ts";
+import { logContacts } from "./ContactLog.ts";
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
 import { type GatewaySettings } from "./GatewaySettings.ts";
 import { RequestLog } from "./RequestLog.ts";
@@ -70,6 +71,7 @@
     private readonly connections: UpstreamConnections;
     private readonly outcomes = new Outcomes();
     private readonly sessions: SessionVersions;
+    private readonly canaryShare: number;
     private readonly suspects: CrashSuspects;
     private readonly processes = new Map<string, string>();
     private readonly door: HttpDoor | undefined;
@@ -83,6 +85,7 @@
         const { clock, network, codec, seeds, settings, log } = parts;
         const now = (): number => clock.monotonic();
         this.directory = new UpstreamDirectory(clock);
+        this.canaryShare = rolloutCourse(settings.bounds.rollout_exposure).canaryShare;
         this.sessions = new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND + SESSION_MARGIN_MS);
         this.board = new UpstreamBoard(clock);
         this.suspects = new CrashSuspects(clock);
@@ -241,9 +244,7 @@
     private listen(): void {
         const { log, clock } = this.parts;
         this.register(this.follower.onFleetChanged(fleet => this.applyFleet(fleet)));
-        this.register(this.follower.onContactChanged(({ peer, isReachable, reason }) => {
-            log.info(isReachable ? "A control instance is reached." : "A control instance is lost.", { peer, reason });
-        }));
+        this.register(logContacts(this.follower, log));
         this.register(this.directory.onChanged(({ record, isUrgent }) => {
             if (!isUrgent) {
                 return;
@@ -292,7 +293,6 @@
 
     private report(): FollowerReport {
         const { fleet } = this.follower;
-        const { canaryShare } = rolloutCourse(this.parts.settings.bounds.rollout_exposure);
         const running = fleet.rollouts.filter(rollout => rollout.state === "running");
         return {
             outcomes: this.outcomes.select(service => running.some(rollout => rollout.service === service)),
@@ -300,7 +300,7 @@
             heldSessions: running.length === 0
                 ? []
                 : this.sessions.select((session, service, version) =>
-                    isHeldBack(fleet, service, session, version, canaryShare)
+                    isHeldBack(fleet, service, session, version, this.canaryShare)
                 ),
         };
     }
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -11,6 +11,7 @@
 import { HttpDoor, type HttpHandler } from "../http/HttpDoor.ts";
 import { type Log } from "../log/Log.ts";
 import { TcpNetwork } from "../peers/TcpNetwork.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
 import { FileLogStore } from "../storage/FileLogStore.ts";
 import { makeFolder } from "../storage/Files.ts";
 import { SuspendAwareClock } from "../time/SuspendAwareClock.ts";
@@ -121,7 +122,7 @@
     }
 
     private async addControl(): Promise<void> {
-        const { settings, clock, network, log, adapter, broker } = this;
+        const { settings, clock, network, log, adapter } = this;
         const { data = "", bootstrap } = settings.instance;
         await makeFolder(data);
         const store = new FileLogStore(data, log.part("control"));
@@ -132,6 +133,7 @@
             log: log.part("control"),
             seeds: this.idsOf(settings.control.seeds),
             isBootstrap: bootstrap,
+            random: Math.random,
             exposure: settings.bounds.rollout_exposure,
         });
         this.control = control;
@@ -142,7 +144,7 @@
         const { control: address } = settings.doors;
         if (address !== undefined) {
             const handler = adapter.createControlHandler(control, clock, log.part("operators"));
-            this.lifecycle.add(new HttpDoor(broker, "control", address, DOOR_LIMITS, handler, { skipsActions: true }));
+            this.addDoor("control", address, handler);
         }
     }
 
@@ -163,16 +165,14 @@
         const { readiness } = settings.doors;
         if (readiness !== undefined) {
             const handler = adapter.createReadinessHandler(() => entry.notReady);
-            this.lifecycle.add(
-                new HttpDoor(broker, "readiness", readiness, DOOR_LIMITS, handler, { skipsActions: true }),
-            );
+            this.addDoor("readiness", readiness, handler);
         }
         // Stopped first, while readiness still answers that new callers should go elsewhere.
         this.lifecycle.add(part("entry", () => entry.start(), () => entry.stop()));
     }
 
     private addMetrics(): void {
-        const { settings: { doors }, broker, metrics, entry, control } = this;
+        const { settings: { doors }, metrics, entry, control } = this;
         metrics.addGauges({
             resident_bytes: { help: "Resident memory.", read: () => process.memoryUsage.rss() },
             cpu_seconds: { help: "Processor time.", read: () => process.cpuUsage().user / 1e6 },
@@ -190,9 +190,11 @@
             req.resume();
             res.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text);
         };
-        this.lifecycle.add(
-            new HttpDoor(broker, "metrics", doors.metrics, DOOR_LIMITS, handler, { skipsActions: true }),
-        );
+        this.addDoor("metrics", doors.metrics, handler);
+    }
+
+    private addDoor(name: string, address: Address, handler: HttpHandler): void {
+        this.lifecycle.add(new HttpDoor(this.broker, name, address, DOOR_LIMITS, handler, { skipsActions: true }));
     }
 
     /** Ids of the instances behind these control doors: every instance's peers door has the same port. */
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -19,7 +19,7 @@
 const flag = z.union([z.boolean(), z.enum(["true", "false", ""]).transform(text => text === "true")]);
 const optionalText = z.string().optional().transform(text => text === "" ? undefined : text);
 
-export const gatewaySettingsSchema = z.object({
+const gatewaySettingsSchema = z.object({
     instance: z.object({
         name: z.string().min(1).describe("Name of this instance, for logs."),
         roles: list.pipe(z.array(z.enum(["entry", "control"], "must be entry, control, or both")).min(1)),
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -116,7 +116,7 @@
             const attempt = this.send(call, state, selection);
             const result = await attempt.run();
             if (result === undefined) {
-                this.noteEnd(call, selection);
+                this.noteSession(call, selection);
                 return { outcome: "served", status: 200, reason: "" };
             }
             if (call.reply.isGone) {
@@ -168,9 +168,7 @@
         state.tried.add(selection.name);
         state.path.push(selection.record.id);
         state.models.push(state.model);
-        if (req.session !== undefined) {
-            this.parts.sessions.note(req.session, service.name, selection.record.version);
-        }
+        this.noteSession(call, selection);
         const headers = this.parts.codec.attemptHeaders(req, {
             upstream: selection.record.id,
             deadlineMs: Math.max(1, Math.floor(this.leftMs(call))),
@@ -240,8 +238,8 @@
         return { outcome: "failed", status, reason };
     }
 
-    private noteEnd(call: Call, selection: Selection): void {
-        const { req, service } = call;
+    /** Notes the version on which the request's session begins, or has just ended, a run. */
+    private noteSession({ req, service }: Call, selection: Selection): void {
         if (req.session !== undefined) {
             this.parts.sessions.note(req.session, service.name, selection.record.version);
         }
--- a/src/node/time/SuspendAwareClock.ts
+++ b/src/node/time/SuspendAwareClock.ts
@@ -13,11 +13,11 @@
  */
 export class SuspendAwareClock extends SystemClock {
     private skippedMs = 0;
-    private offsetMs = Date.now() - performance.now();
+    private offsetMs = this.now() - super.monotonic();
 
     public override monotonic(): number {
-        const steady = performance.now();
-        const offset = Date.now() - steady;
+        const steady = super.monotonic();
+        const offset = this.now() - steady;
         const jump = offset - this.offsetMs;
         if (Math.abs(jump) > TOLERANCE_MS) {
             this.skippedMs += Math.max(0, jump);
