--- a/src/common/gateway/ColdStartLimiter.ts
+++ b/src/common/gateway/ColdStartLimiter.ts
@@ -31,9 +31,12 @@
         return this.clock.monotonic() - last >= this.spacingMs(rate, entryCount);
     }
 
-    /** Must be called for each request that is sent. */
-    public recordSend(upstream: string): void {
-        this.lastSentAt.set(upstream, this.clock.monotonic());
+    /** Must be called for each request that is sent. Returns the time since the one before, in ms; undefined for the first. */
+    public recordSend(upstream: string): number | undefined {
+        const now = this.clock.monotonic();
+        const last = this.lastSentAt.get(upstream);
+        this.lastSentAt.set(upstream, now);
+        return last === undefined ? undefined : now - last;
     }
 
     /**
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -59,6 +59,11 @@
     /** Whether a control majority is reachable. If not, other failure domains may be unreachable as well. */
     readonly hasQuorumContact: () => boolean;
     readonly coldTolerance: ColdStartTolerance;
+    /**
+     * Called for each request to a cold upstream; `sinceLastMs` is the time since this instance's previous one to it, in
+     * ms, and undefined for the first.
+     */
+    readonly onColdSend: (record: UpstreamRecord, sinceLastMs: number | undefined) => void;
 }
 
 /** Key that identifies one process of an upstream, since an id is reused after a restart. */
@@ -91,7 +96,7 @@
         }
         const { record, name, stats } = chosen;
         if (this.isCold(chosen)) {
-            this.cold.recordSend(name);
+            this.deps.onColdSend(record, this.cold.recordSend(name));
         }
         return { record, name, stats };
     }
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -172,6 +172,11 @@
         return this.follower.confirmationAgeMs;
     }
 
+    /** Number of entry instances that this one reckons with. */
+    public get entryCount(): number {
+        return this.follower.entryCount;
+    }
+
     /** Follows these control instances in addition to those that it follows already. */
     public followControls(seeds: readonly string[]): void {
         this.follower.follow(seeds);
@@ -205,7 +210,7 @@
     }
 
     private createSelector(): UpstreamSelector {
-        const { clock, settings } = this.deps;
+        const { clock, settings, log } = this.deps;
         return new UpstreamSelector({
             clock,
             directory: this.directory,
@@ -215,6 +220,11 @@
             entryCount: () => this.follower.entryCount,
             hasQuorumContact: () => this.hasQuorumContact,
             coldTolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
+            onColdSend: ({ id, start }, sinceLastMs) => {
+                const { entryCount } = this.follower;
+                const pause = sinceLastMs === undefined ? {} : { sinceLastMs: Math.round(sinceLastMs) };
+                log.info("A request goes to a cold upstream.", { upstream: id, start, ...pause, entryCount });
+            },
         });
     }
 
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -177,6 +177,10 @@
             resident_bytes: { help: "Resident memory.", read: () => process.memoryUsage.rss() },
             cpu_seconds: { help: "Processor time.", read: () => process.cpuUsage().user / 1e6 },
             in_flight: { help: "Requests in flight.", read: () => entry?.handler.inFlight ?? 0 },
+            entries: {
+                help: "Entry instances that this one reckons with; 0 without the entry role.",
+                read: () => entry?.entryCount ?? 0,
+            },
             // Holds the confirmation age.
             proof_age_ms: {
                 help: "Age of the proof that the configuration is in force.",
