Roll-outs: a version of which only some answers are slow, or slow behind the first event, is rolled back

Cause: the decision compared the mean logarithm of the time until the first event, of the answers that came. Slow events behind the first one, a mix of fast and slow answers, and attempts that were given up did not show in it.

Ruled out: a canary that gets no requests, and a decision that comes too late (it had 12 s).

Change: entry instances report the pace of streams and the time waited for attempts that were given up, as histograms; outliers against the settled version count. Hidden slowness is thus seen whatever part of the answers it concerns.

The two new tests of slow versions fail without the change.

--- a/src/common/gateway/OutcomeCounters.ts
+++ b/src/common/gateway/OutcomeCounters.ts
@@ -3,6 +3,7 @@
  * their process, so that a lost or duplicated report does no harm.
  */
 import { z } from "zod";
+import { addTime, sumHistograms } from "./TimeHistogram.ts";
 
 export const routeOutcomeCountsSchema = z.object({
     service: z.string(),
@@ -16,6 +17,13 @@
     timed: z.number(),
     /** Sum of the natural logarithms of these latencies in ms. */
     logMsSum: z.number(),
+    /**
+     * Times until a response began, as a `TimeHistogram`. Those of attempts that were given up because no response came
+     * are included with the time waited.
+     */
+    latencies: z.array(z.number()).default([]),
+    /** Median times between the events of a stream, as a `TimeHistogram` with one time for each stream. */
+    paces: z.array(z.number()).default([]),
 });
 
 /** Outcome counts of one version on one route. */
@@ -35,12 +43,23 @@
         if (latencyMs !== undefined) {
             count.timed++;
             count.logMsSum += Math.log(Math.max(1, latencyMs));
+            addTime(count.latencies, latencyMs);
         }
     }
 
+    /** Records an attempt that was given up after `waitedMs` without a response. */
+    public recordUnanswered(service: string, version: string, route: string, waitedMs: number): void {
+        addTime(this.countOf(service, version, route).latencies, waitedMs);
+    }
+
+    /** Records the median time between the events of a stream. */
+    public recordPace(service: string, version: string, route: string, paceMs: number): void {
+        addTime(this.countOf(service, version, route).paces, paceMs);
+    }
+
     /** Returns copies of the counts of the services for which `isWanted` is true. */
     public select(isWanted: (service: string) => boolean): RouteOutcomeCounts[] {
-        return [...this.counts.values()].filter(count => isWanted(count.service)).map(count => ({ ...count }));
+        return [...this.counts.values()].filter(count => isWanted(count.service)).map(copyOf);
     }
 
     private countOf(service: string, version: string, route: string): MutableCounts {
@@ -49,7 +68,17 @@
         if (existing !== undefined) {
             return existing;
         }
-        const count = { service, version, route, answers: 0, failures: 0, timed: 0, logMsSum: 0 };
+        const count = {
+            service,
+            version,
+            route,
+            answers: 0,
+            failures: 0,
+            timed: 0,
+            logMsSum: 0,
+            latencies: [],
+            paces: [],
+        };
         this.counts.set(key, count);
         return count;
     }
@@ -58,6 +87,12 @@
 const keyOf = ({ service, version, route }: Pick<RouteOutcomeCounts, "service" | "version" | "route">): string =>
     `${service}\n${version}\n${route}`;
 
+const copyOf = (count: RouteOutcomeCounts): MutableCounts => ({
+    ...count,
+    latencies: [...count.latencies],
+    paces: [...count.paces],
+});
+
 /** Adds up the counts of several instances. */
 export const sumOutcomes = (lists: Iterable<readonly RouteOutcomeCounts[]>): RouteOutcomeCounts[] => {
     const sums = new Map<string, MutableCounts>();
@@ -65,13 +100,15 @@
         const key = keyOf(count);
         const sum = sums.get(key);
         if (sum === undefined) {
-            sums.set(key, { ...count });
+            sums.set(key, copyOf(count));
             continue;
         }
         sum.answers += count.answers;
         sum.failures += count.failures;
         sum.timed += count.timed;
         sum.logMsSum += count.logMsSum;
+        sum.latencies = sumHistograms([sum.latencies, count.latencies]);
+        sum.paces = sumHistograms([sum.paces, count.paces]);
     }
     return [...sums.values()];
 };
--- a/src/common/gateway/RolloutPlan.test.ts
+++ b/src/common/gateway/RolloutPlan.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SeededRandom } from "../../../addons/fakes/SeededRandom.ts";
 import { type Rollout } from "./FleetState.ts";
-import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
+import { OutcomeCounters, type RouteOutcomeCounts } from "./OutcomeCounters.ts";
 import { createRolloutSchedule, planRolloutStep } from "./RolloutPlan.ts";
 
 const schedule = createRolloutSchedule(0.15);
@@ -17,6 +18,8 @@
     failures,
     timed: answers - failures,
     logMsSum: (answers - failures) * Math.log(meanMs),
+    latencies: [],
+    paces: [],
 });
 
 test("RolloutPlan: the canary share comes first, then all sessions, then completion", () => {
@@ -73,3 +76,65 @@
         }
     }
 });
+
+/** Time between the events of one stream, in ms: about 30, but 100 for one stream in twelve that shares a busy engine. */
+const drawPace = (random: SeededRandom): number => (random.chance(1 / 12) ? 100 : 30) * Math.exp(random.next() - 0.5);
+
+/** Runs the canary phase of a roll-out with outcomes that `record` adds; returns the state after `answers` answers. */
+const runCanary = (
+    answers: number,
+    record: (counters: OutcomeCounters, version: string) => void,
+): string => {
+    const counters = new OutcomeCounters();
+    for (let index = 0; index < 300; index++) {
+        record(counters, "v1");
+    }
+    const canary = { ...rollout, share: CANARY_SHARE };
+    for (let index = 0; index < answers; index++) {
+        record(counters, "v2");
+        const step = planRolloutStep(canary, 3000, true, counters.select(() => true), schedule);
+        if (step !== undefined) {
+            return step.state;
+        }
+    }
+    return canary.state;
+};
+
+const SEEDS = 50;
+
+// EXPOSURE: only the time to the first event was compared, and its mean hid that half of the answers were slow.
+test("RolloutPlan: a version of which half of the streams are several times slower is rolled back in the canary", () => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+        const random = new SeededRandom(seed);
+        const state = runCanary(28, (counters, version) => {
+            const slowness = version === "v2" && random.chance(0.5) ? 4 : 1;
+            counters.record("s", version, "r", false, 100);
+            counters.recordPace("s", version, "r", drawPace(random) * slowness);
+        });
+        assert.equal(state, "rolledBack", `seed ${seed}`);
+    }
+});
+
+test("RolloutPlan: a version of which half of the attempts are given up without an answer is rolled back", () => {
+    const random = new SeededRandom(1);
+    const state = runCanary(28, (counters, version) => {
+        if (version === "v2" && random.chance(0.5)) {
+            counters.recordUnanswered("s", version, "r", 400);
+            return;
+        }
+        counters.record("s", version, "r", false, 45);
+    });
+    assert.equal(state, "rolledBack");
+});
+
+test("RolloutPlan: a version that is as fast as the previous one, or a little slower, is not rolled back", () => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+        const random = new SeededRandom(seed);
+        const state = runCanary(60, (counters, version) => {
+            const slowness = version === "v2" ? 1.2 : 1;
+            counters.record("s", version, "r", false, drawPace(random) * slowness);
+            counters.recordPace("s", version, "r", drawPace(random) * slowness);
+        });
+        assert.equal(state, "running", `seed ${seed}`);
+    }
+});
--- a/src/common/gateway/RolloutPlan.ts
+++ b/src/common/gateway/RolloutPlan.ts
@@ -8,6 +8,7 @@
  */
 import { type Rollout } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
+import { countFrom, countTimes, outlierBucket, sumHistograms } from "./TimeHistogram.ts";
 
 /** Share of the new sessions in the canary phase, as a fraction of the exposure limit. */
 const CANARY_FRACTION = 1 / 3;
@@ -32,6 +33,14 @@
 const MIN_TIMED = 10;
 /** A version is rolled back when its geometric mean latency on a route exceeds that of the others by this factor. */
 const SLOW_FACTOR = 2.2;
+/** Least factor by which a time exceeds the median of the other versions to count as an outlier. */
+const OUTLIER_FACTOR = 2;
+/** Largest share of the other versions' times that count as outliers. */
+const OUTLIER_TAIL = 0.1;
+/** Least outliers before a version is rolled back. */
+const MIN_OUTLIERS = 6;
+/** A version is rolled back when its share of outliers exceeds that of the other versions by more than this. */
+const OUTLIER_MARGIN = 0.25;
 
 /** Schedule of a roll-out, as fractions of its duration. */
 export interface RolloutSchedule {
@@ -112,6 +121,14 @@
             return `${failures} failures on ${name}: ${percent(rate)} against ${percent(baselineRate)}`;
         }
     }
+    for (const [name, targetCounts, baselineCounts] of groups) {
+        for (const measure of ["latencies", "paces"] as const) {
+            const fault = findOutliers(targetCounts, baselineCounts, measure);
+            if (fault !== undefined) {
+                return `${fault} on ${name}`;
+            }
+        }
+    }
     for (const count of target.filter(item => item.timed >= MIN_TIMED)) {
         const others = baseline.filter(other => other.route === count.route);
         const timed = total(others, "timed");
@@ -123,6 +140,33 @@
     return undefined;
 };
 
+/**
+ * Finds whether many times are much longer than usual on the same route. This also shows a version of which only some
+ * answers are slow, while the others raise no mean.
+ */
+const findOutliers = (
+    target: readonly RouteOutcomeCounts[],
+    baseline: readonly RouteOutcomeCounts[],
+    measure: "latencies" | "paces",
+): string | undefined => {
+    let outliers = 0;
+    let times = 0;
+    let expected = 0;
+    for (const count of target) {
+        const others = sumHistograms(baseline.filter(item => item.route === count.route).map(item => item[measure]));
+        if (countTimes(others) < MIN_TIMED) {
+            continue;
+        }
+        const bucket = outlierBucket(others, OUTLIER_FACTOR, OUTLIER_TAIL);
+        const measured = countTimes(count[measure]);
+        outliers += countFrom(count[measure], bucket);
+        times += measured;
+        expected += measured * countFrom(others, bucket) / countTimes(others);
+    }
+    const isBad = outliers >= MIN_OUTLIERS && outliers > expected + times * OUTLIER_MARGIN;
+    return isBad ? `${outliers} of ${times} ${measure} are outliers, ${expected.toFixed(1)} expected,` : undefined;
+};
+
 const total = (counts: readonly RouteOutcomeCounts[], field: "answers" | "failures" | "timed" | "logMsSum"): number =>
     counts.reduce((sum, count) => sum + count[field], 0);
 
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -248,6 +248,10 @@
                 onUnreachable: ({ name }) => this.crashTracker.recordProcessEnd(name),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
+                onUnanswered: (call, { record }, waitedMs) =>
+                    this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
+                onPace: (call, { record }, paceMs) =>
+                    this.outcomes.recordPace(call.service.name, record.version, call.route.name, paceMs),
             }),
         );
     }
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -29,6 +29,11 @@
 /** How long an upstream gets no requests after it refused one because it is full, in ms. */
 const FULL_PAUSE_MS = 60;
 
+/** Number of pauses between events from which the pace of a stream is determined; fewer if it ends sooner. */
+const PACE_PAUSES = 9;
+/** Least number of pauses. */
+const MIN_PACE_PAUSES = 3;
+
 /** Why an attempt failed. */
 export interface AttemptFailure {
     readonly message: string;
@@ -62,6 +67,10 @@
     readonly onUnreachable: (selection: Selection) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
+    /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
+    readonly onUnanswered: (call: Call, selection: Selection, waitedMs: number) => void;
+    /** Called once for a stream with enough events, with the median time between its first ones. */
+    readonly onPace: (call: Call, selection: Selection, paceMs: number) => void;
 }
 
 /** All attempts of this instance. */
@@ -104,6 +113,12 @@
     private readonly sentAt: number;
     private readonly promptTokens: number;
     private arePromptTokensReleased = false;
+    /** Whether a usable response has begun. */
+    private hasResponse = false;
+    /** Pauses between the first events, in ms; undefined once the pace has been reported. */
+    private pauses: number[] | undefined = [];
+    /** Monotonic time of the newest event of this attempt, in ms. */
+    private lastEventAt: number | undefined;
 
     public constructor(
         deps: UpstreamAttemptsDependencies,
@@ -130,7 +145,7 @@
         stats.promptTokens += this.promptTokens;
         const deadline = deps.clock.schedule(
             call.deadlineAt - this.sentAt,
-            () => exchange.abort("the deadline has passed"),
+            () => this.giveUp("the deadline has passed"),
         );
         call.reply.onCallerGone(() => exchange.abort("the caller has left"));
         try {
@@ -141,6 +156,7 @@
             exchange.abort("the attempt has ended");
             stats.inFlight--;
             this.releasePromptTokens();
+            this.reportPace(MIN_PACE_PAUSES);
             this.onEnded();
         }
     }
@@ -183,8 +199,15 @@
         }
         const slowMs = Math.max(MIN_SLOW_MS, call.route.objectiveMs * SLOW_FACTOR);
         if (call.route.kind === "idempotent" && hasAttemptsLeft && idleMs > slowMs) {
-            this.exchange.abort(`upstream ${name} is slow`);
+            this.giveUp(`upstream ${name} is slow`);
+        }
+    }
+
+    private giveUp(reason: string): void {
+        if (!this.hasResponse) {
+            this.deps.onUnanswered(this.call, this.selection, this.deps.clock.monotonic() - this.sentAt);
         }
+        this.exchange.abort(reason);
     }
 
     private async relayResponse(): Promise<AttemptFailure | undefined> {
@@ -296,7 +319,8 @@
             return { message, wasSent: true, mayHaveRun: true, isErrorResponse: true };
         }
         deps.upstreamStats.recordSuccess(stats);
-        deps.onResponse(call, this.selection, deps.clock.monotonic() - this.sentAt);
+        this.hasResponse = true;
+        this.reportResponse();
         call.reply.send(head.status, head.headers, body);
         return undefined;
     }
@@ -319,10 +343,11 @@
             if (events.length === 0) {
                 continue;
             }
+            this.hasResponse = true;
             this.recordEventTimes();
             if (!call.reply.hasBegun) {
                 state.splitter = splitter;
-                deps.onResponse(call, this.selection, deps.clock.monotonic() - this.sentAt);
+                this.reportResponse();
                 call.reply.beginStream(head.status, head.headers);
             }
             await call.reply.write(events);
@@ -349,6 +374,27 @@
             state.longestPauseMs = Math.max(state.longestPauseMs, now - state.lastEventAt);
         }
         state.lastEventAt = now;
+        if (this.lastEventAt !== undefined) {
+            this.pauses?.push(now - this.lastEventAt);
+        }
+        this.lastEventAt = now;
+        this.reportPace(PACE_PAUSES);
+    }
+
+    private reportResponse(): void {
+        const { deps, call, selection } = this;
+        deps.onResponse(call, selection, deps.clock.monotonic() - this.sentAt);
+    }
+
+    /** Reports the pace of the stream, once, if there have been at least `least` pauses. */
+    private reportPace(least: number): void {
+        const { deps, call, selection, pauses } = this;
+        if (pauses === undefined || pauses.length < least) {
+            return;
+        }
+        this.pauses = undefined;
+        pauses.sort((a, b) => a - b);
+        deps.onPace(call, selection, pauses[Math.floor(pauses.length / 2)] ?? 0);
     }
 
     /**
