Cold upstreams: nothing is kept about those that are warm or gone

What is kept about each cold upstream was never discarded, and since the senders are chosen it holds on to old lists of instances. The metric entries now counts the roster, as the log line does.

--- a/src/common/gateway/ColdStartLimiter.ts
+++ b/src/common/gateway/ColdStartLimiter.ts
@@ -55,7 +55,9 @@
         return this.clock.monotonic() - last >= spacingMs(rate, senderCount);
     }
 
-    /** Must be called for each request that is sent. Returns the time since the one before, in ms; undefined for the first. */
+    /**
+     * Must be called for each request that is sent. Returns the time since the one before, in ms; undefined for the first.
+     */
     public recordSend(upstream: string): number | undefined {
         const now = this.clock.monotonic();
         const last = this.lastSentAt.get(upstream);
@@ -63,6 +65,12 @@
         return last === undefined ? undefined : now - last;
     }
 
+    /** Discards what is kept about an upstream that is warm or gone. */
+    public forget(upstream: string): void {
+        this.lastSentAt.delete(upstream);
+        this.choices.delete(upstream);
+    }
+
     private isSender(upstream: string, members: readonly string[], senderCount: number): boolean {
         const known = this.choices.get(upstream);
         if (known?.members === members && known.senderCount === senderCount) {
--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -134,6 +134,16 @@
     assert.equal(limiter.maySend("u", rate, ["e1"]), true);
 });
 
+test("ColdStartLimiter: nothing is kept about an upstream that is warm or gone", () => {
+    const limiter = new ColdStartLimiter(new ManualClock(0), "e1");
+    const rate = { perSecond: 12, excess: 1.5, slack: 5 };
+    assert.equal(limiter.maySend("u", rate, ["e1"]), true);
+    limiter.recordSend("u");
+    assert.equal(limiter.maySend("u", rate, ["e1"]), false);
+    limiter.forget("u");
+    assert.equal(limiter.recordSend("u"), undefined);
+});
+
 test("CrashHistory: a request is quarantined after two crashes, even when different instances counted them", () => {
     const clock = new ManualClock(0);
     const history = new CrashHistory(clock);
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -105,6 +105,11 @@
         return { record, name, stats };
     }
 
+    /** Discards what is kept about an upstream process that has ended. */
+    public forget(name: string): void {
+        this.cold.forget(name);
+    }
+
     private findUsable(req: SelectionRequest): UsableUpstream[] {
         const { directory, upstreamStats, clock, fleet } = this.deps;
         const { drainedDomains } = fleet();
@@ -138,6 +143,7 @@
 
     private maySendIfCold(service: Service, received: ReceivedRecord, name: string): boolean {
         if (!this.isCold(received) || service.coldPerSecond <= 0) {
+            this.cold.forget(name);
             return true;
         }
         const rate = { perSecond: service.coldPerSecond, ...this.deps.coldTolerance };
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -73,6 +73,7 @@
     private readonly upstreamStats: UpstreamStatistics;
     private readonly follower: FleetFollower;
     private readonly connections: UpstreamConnections;
+    private readonly selector: UpstreamSelector;
     private readonly outcomes = new OutcomeCounters();
     private readonly sessions: SessionVersions;
     private readonly canaryShare: number;
@@ -105,7 +106,7 @@
             }),
         );
         this.connections = this.register(new UpstreamConnections(now));
-        const selector = this.createSelector();
+        this.selector = this.createSelector();
         const requestLog = new RequestLog(
             clock,
             log.withPrefix("requests"),
@@ -122,7 +123,7 @@
         const router = new RequestRouter({
             clock,
             codec,
-            selector,
+            selector: this.selector,
             attempts: this.createAttempts(budget),
             budget,
             sessions: this.sessions,
@@ -172,9 +173,9 @@
         return this.follower.confirmationAgeMs;
     }
 
-    /** Number of entry instances that this one reckons with. */
-    public get entryCount(): number {
-        return this.follower.entryCount;
+    /** Number of entry instances on the roster; 0 while they may not know each other. */
+    public get rosterSize(): number {
+        return this.follower.entries.length;
     }
 
     /** Follows these control instances in addition to those that it follows already. */
@@ -224,7 +225,7 @@
             coldTolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
             onColdSend: ({ id, start }, sinceLastMs) => {
                 const pause = sinceLastMs === undefined ? {} : { sinceLastMs: Math.round(sinceLastMs) };
-                const entries = this.follower.entries.length;
+                const entries = this.rosterSize;
                 log.info("A request goes to a cold upstream.", { upstream: id, start, ...pause, entries });
             },
         });
@@ -283,10 +284,12 @@
                 this.crashTracker.recordProcessEnd(previous);
                 this.connections.close(previous);
                 this.upstreamStats.remove(previous);
+                this.selector.forget(previous);
             }
             this.processNames.set(id, name);
             if (state === "gone") {
                 this.connections.close(name);
+                this.selector.forget(name);
             }
         }));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => this.directory.evictStale()));
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -178,8 +178,8 @@
             cpu_seconds: { help: "Processor time.", read: () => process.cpuUsage().user / 1e6 },
             in_flight: { help: "Requests in flight.", read: () => entry?.handler.inFlight ?? 0 },
             entries: {
-                help: "Entry instances that this one reckons with; 0 without the entry role.",
-                read: () => entry?.entryCount ?? 0,
+                help: "Entry instances on the roster; 0 while they may not know each other.",
+                read: () => entry?.rosterSize ?? 0,
             },
             // Holds the confirmation age.
             proof_age_ms: {
