--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -138,6 +138,21 @@
         this.controls.delete(id);
     }
 
+    /** Stops these instances, and starts them again after `delayMs`. */
+    public restart(ids: readonly string[], delayMs: number): void {
+        ids.forEach(id => this.stop(id));
+        this.clock.schedule(delayMs, () =>
+            ids.forEach(id => {
+                // A restart that overlaps may have started it meanwhile.
+                this.stop(id);
+                if (CONTROLS.includes(id)) {
+                    this.startControl(id);
+                    return;
+                }
+                this.startEntry(id);
+            }));
+    }
+
     /** Replaces the upstream by a new one, which is cold. */
     public startUpstream(): void {
         this.sentAt = [];
@@ -226,33 +241,13 @@
             simulation.clock.schedule(forMs, () => chosen.forEach(id => simulation.cut.delete(id)));
             break;
         case 1:
-            chosen.forEach(id => simulation.stop(id));
-            simulation.clock.schedule(forMs / 4, () =>
-                chosen.forEach(id => {
-                    simulation.stop(id);
-                    simulation.startEntry(id);
-                }));
+            simulation.restart(chosen, forMs / 4);
             break;
         case 2:
-            lostControls.forEach(id => simulation.stop(id));
-            simulation.clock.schedule(forMs / 4, () =>
-                lostControls.forEach(id => {
-                    simulation.stop(id);
-                    simulation.startControl(id);
-                }));
+            simulation.restart(lostControls, forMs / 4);
             break;
         default:
-            [...CONTROLS, ...chosen].forEach(id => simulation.stop(id));
-            simulation.clock.schedule(forMs / 4, () => {
-                CONTROLS.forEach(id => {
-                    simulation.stop(id);
-                    simulation.startControl(id);
-                });
-                chosen.forEach(id => {
-                    simulation.stop(id);
-                    simulation.startEntry(id);
-                });
-            });
+            simulation.restart([...CONTROLS, ...chosen], forMs / 4);
     }
 };
 
