--- a/src/common/gateway/CrashTracker.ts
+++ b/src/common/gateway/CrashTracker.ts
@@ -41,8 +41,11 @@
         this.brokenRequests.push({ upstream, fingerprint, at: now });
     }
 
-    /** Counts a crash for each request whose connection the upstream's process broke shortly before it ended. */
-    public recordProcessEnd(upstream: string): void {
+    /**
+     * Counts a crash for each request whose connection the upstream's process broke shortly before it ended; returns
+     * their number.
+     */
+    public recordProcessEnd(upstream: string): number {
         const now = this.clock.monotonic();
         const suspects = this.brokenRequests.filter(item =>
             item.upstream === upstream && now - item.at <= RETENTION_MS
@@ -54,5 +57,6 @@
         for (const fingerprint of [...this.counts.keys()].slice(0, -MAX_REQUESTS)) {
             this.counts.delete(fingerprint);
         }
+        return suspects.length;
     }
 }
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -30,6 +30,8 @@
     readonly confirmationAgeMs: () => number;
     /** Ids of the known control instances, including this one. */
     readonly controls: () => readonly string[];
+    /** Called with the number of quarantined requests when it has grown. */
+    readonly onQuarantined?: (count: number) => void;
 }
 
 interface Follower {
@@ -100,6 +102,7 @@
         const { size } = this.crashes.quarantined();
         if (size > this.quarantineCount) {
             this.changeSignal.fire();
+            this.deps.onQuarantined?.(size);
         }
         this.quarantineCount = size;
     }
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -93,6 +93,7 @@
                 fleet: () => this.fleet,
                 confirmationAgeMs: () => this.confirmationAgeMs,
                 controls: () => [network.self, ...this.follower.reachableControls(ADVERTISED_FOR_MS)],
+                onQuarantined: count => log.info("A request is quarantined.", { count }),
             }),
         );
         this.client = new ControlClient(clock, network, this.controlLog, () => this.proposalTargets());
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -232,7 +232,7 @@
     }
 
     private createAttempts(budget: ServiceRetryBudget): UpstreamAttempts {
-        const { clock, codec } = this.deps;
+        const { clock, codec, log } = this.deps;
         return this.register(
             new UpstreamAttempts({
                 clock,
@@ -244,9 +244,15 @@
                 hasQuorumContact: () => this.hasQuorumContact,
                 escalator: new ModelEscalator(),
                 withdrawForEscalation: service => budget.tryWithdrawForEscalation(service),
-                onConnectionClosed: (call, { name }) =>
-                    this.crashTracker.recordBrokenConnection(name, call.fingerprint()),
-                onUnreachable: ({ name }) => this.crashTracker.recordProcessEnd(name),
+                onConnectionClosed: (call, { name }) => {
+                    this.crashTracker.recordBrokenConnection(name, call.fingerprint());
+                    log.info("A connection broke under a request.", {
+                        req: call.req.id,
+                        upstream: name,
+                        fingerprint: call.fingerprint(),
+                    });
+                },
+                onUnreachable: ({ name }) => this.recordProcessEnd(name, "unreachable"),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
                 onUnanswered: (call, { record }, waitedMs) =>
@@ -281,7 +287,7 @@
             const name = processName(record);
             const previous = this.processNames.get(id);
             if (previous !== undefined && previous !== name) {
-                this.crashTracker.recordProcessEnd(previous);
+                this.recordProcessEnd(previous, "replaced");
                 this.connections.close(previous);
                 this.upstreamStats.remove(previous);
                 this.selector.forget(previous);
@@ -296,6 +302,13 @@
         this.register(repeat(clock, EVICTION_PERIOD_MS / 20, () => this.logLeaseChange()));
     }
 
+    private recordProcessEnd(upstream: string, evidence: string): void {
+        const requests = this.crashTracker.recordProcessEnd(upstream);
+        if (requests > 0) {
+            this.deps.log.info("An upstream process has ended under requests.", { upstream, evidence, requests });
+        }
+    }
+
     private applyFleet(fleet: Fleet): void {
         const { log, readConfig } = this.deps;
         if (fleet.configText !== "" && fleet.configVersion !== this.routeTable?.config.version) {
