--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -30,7 +30,7 @@
 import { RequestLog } from "./RequestLog.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import { UpstreamAttempts } from "./UpstreamAttempts.ts";
-import { UpstreamConnections } from "./UpstreamConnections.ts";
+import { UpstreamConnections, type UpstreamTransport } from "./UpstreamConnections.ts";
 
 /**
  * Duration of the lease as a fraction of the setting `revoke_ms`, the time within which a removed key must stop working
@@ -63,6 +63,8 @@
     readonly readConfig: (text: string) => GatewayConfig;
     readonly metrics: GatewayMetrics;
     readonly log: Log;
+    /** Replaces the connections to upstreams, for simulations. */
+    readonly createTransport?: () => UpstreamTransport;
 }
 
 /** The entry role of one process. */
@@ -72,7 +74,7 @@
     private readonly directory: UpstreamDirectory;
     private readonly upstreamStats: UpstreamStatistics;
     private readonly follower: FleetFollower;
-    private readonly connections: UpstreamConnections;
+    private readonly connections: UpstreamTransport;
     private readonly selector: UpstreamSelector;
     private readonly outcomes = new OutcomeCounters();
     private readonly sessions: SessionVersions;
@@ -105,7 +107,7 @@
                 report: () => this.report(),
             }),
         );
-        this.connections = this.register(new UpstreamConnections(now));
+        this.connections = this.register(deps.createTransport?.() ?? new UpstreamConnections(now));
         this.selector = this.createSelector();
         const requestLog = new RequestLog(
             clock,
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -13,7 +13,7 @@
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Clock, repeat } from "../../common/time/Clock.ts";
 import { type Call, type CallState } from "./RequestRouter.ts";
-import { type Exchange, type ExchangeFailure, isFailure, type UpstreamConnections } from "./UpstreamConnections.ts";
+import { type Exchange, type ExchangeFailure, isFailure, type UpstreamTransport } from "./UpstreamConnections.ts";
 
 /** How often the attempts are checked, in ms. */
 const CHECK_PERIOD_MS = 100;
@@ -51,7 +51,7 @@
 export interface UpstreamAttemptsDependencies {
     readonly clock: Clock;
     readonly codec: ExchangeCodec;
-    readonly connections: UpstreamConnections;
+    readonly connections: UpstreamTransport;
     readonly upstreamStats: UpstreamStatistics;
     readonly directory: UpstreamDirectory;
     /** Number of entry instances, which share the connections that an upstream accepts. */
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -196,6 +196,9 @@
     outcome: RawResponseHead | Buffer | ExchangeFailure | undefined,
 ): outcome is ExchangeFailure => outcome !== undefined && "wasSent" in outcome;
 
+/** Carries requests to upstreams. */
+export type UpstreamTransport = Pick<UpstreamConnections, "send" | "close" | "dispose">;
+
 /** Connection pools by upstream process. */
 export class UpstreamConnections extends DisposableOwner {
     private readonly pools = new Map<string, PoolEntry>();
