Crashing requests: the end of a process is found at once, and blamed on the request that was in most crashes

Cause: a crash counted only after a connection to the same process had failed, or its id had come back. The class of fault: a conclusion that waits for evidence which the system itself avoids to collect.

Change: when a connection breaks under a request, the entry instance connects to the upstream's address at once. Unless that is accepted, it reports the broken run to all control instances (CrashObserver). Those put the reports of all instances together by process (CrashHistory): a process counts as ended when it refuses connections or has been silent for 3 s, and no heartbeat of it has come since. The request that was in most crashes is blamed first, and its crashes count for no other, so that what ran beside it isn't refused. Before the verdict control instances ask all entry instances whether the suspects have been answered in full; those that have are sound. Quarantines are kept by every instance and told on (QuarantineList), so that restarts lose none. A request that is quarantined while it waits for an upstream is no longer sent.

--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -103,7 +103,7 @@
             role: "entry",
             directory,
             seeds: CONTROLS,
-            report: () => ({ outcomes: [], crashes: [], heldSessions: [] }),
+            report: () => ({ outcomes: [], heldSessions: [] }),
         });
         follower.start();
         const selector = new UpstreamSelector({
--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -2,8 +2,6 @@
 import { test } from "node:test";
 import { ManualClock } from "../time/ManualClock.ts";
 import { ColdStartLimiter } from "./ColdStartLimiter.ts";
-import { CrashHistory } from "./CrashHistory.ts";
-import { CrashTracker } from "./CrashTracker.ts";
 import { emptyFleet, type Fleet, type Rollout } from "./FleetState.ts";
 import { type PlacementCandidate, placeRequest } from "./Placement.ts";
 import { ServiceRetryBudget } from "./ServiceRetryBudget.ts";
@@ -144,34 +142,6 @@
     assert.equal(limiter.recordSend("u"), undefined);
 });
 
-test("CrashHistory: a request is quarantined after two crashes, even when different instances counted them", () => {
-    const clock = new ManualClock(0);
-    const history = new CrashHistory(clock);
-    history.mergeCounts("a", [{ fingerprint: "f", count: 1 }, { fingerprint: "g", count: 1 }]);
-    history.mergeCounts("a", [{ fingerprint: "f", count: 1 }]);
-    assert.equal(history.quarantined().size, 0);
-    history.mergeCounts("b", [{ fingerprint: "f", count: 1 }]);
-    assert.deepEqual([...history.quarantined()], ["f"]);
-    clock.advance(121_000);
-    history.mergeCounts("b", []);
-    assert.equal(history.quarantined().size, 0);
-});
-
-test("CrashTracker: a broken connection counts as a crash only when the upstream's process has ended", () => {
-    const clock = new ManualClock(0);
-    const tracker = new CrashTracker(clock);
-    tracker.recordBrokenConnection("u 1", "poison");
-    tracker.recordBrokenConnection("v 1", "innocent");
-    assert.deepEqual(tracker.crashes, []);
-    clock.advance(4000);
-    tracker.recordProcessEnd("u 1");
-    tracker.recordProcessEnd("u 1");
-    assert.deepEqual(tracker.crashes, [{ fingerprint: "poison", count: 1 }]);
-    clock.advance(15_001);
-    tracker.recordProcessEnd("v 1");
-    assert.equal(tracker.crashes.length, 1);
-});
-
 test("VoterPlan: voters are added one at a time up to an odd number, at most five", () => {
     const next = (voters: string, reachable: string): string | undefined =>
         nextVoters([...voters], { reachable: [...reachable], lost: [] })?.join("");
--- a/src/common/gateway/FleetFollower.test.ts
+++ b/src/common/gateway/FleetFollower.test.ts
@@ -3,6 +3,7 @@
 import { MemoryHub } from "../../../addons/fakes/MemoryNetwork.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { ManualClock } from "../time/ManualClock.ts";
+import { type BrokenRun, CrashObserver } from "./CrashObserver.ts";
 import { FleetFollower } from "./FleetFollower.ts";
 import { FleetPublisher } from "./FleetPublisher.ts";
 import { emptyFleet, type Fleet } from "./FleetState.ts";
@@ -53,7 +54,7 @@
                 role: "control",
                 directory: control.directory,
                 seeds,
-                report: () => ({ outcomes: [], crashes: [], heldSessions: [] }),
+                report: () => ({ outcomes: [], heldSessions: [] }),
             }),
         );
         control.publisher = this.register(
@@ -77,8 +78,9 @@
         return control;
     }
 
-    public addEntry(id: string, seeds: readonly string[]): { follower: FleetFollower; directory: UpstreamDirectory; } {
+    public addEntry(id: string, seeds: readonly string[]): TestEntry {
         const directory = new UpstreamDirectory(this.clock);
+        const crashes = new CrashObserver(this.clock);
         const follower = this.register(
             new FleetFollower({
                 clock: this.clock,
@@ -86,11 +88,12 @@
                 role: "entry",
                 directory,
                 seeds,
-                report: () => ({ outcomes: [], crashes: [{ fingerprint: "f", count: 1 }], heldSessions: [id] }),
+                report: () => ({ outcomes: [], heldSessions: [id] }),
+                crashes,
             }),
         );
         follower.start();
-        return { follower, directory };
+        return { follower, directory, crashes };
     }
 
     public advance(ms: number): Promise<void> {
@@ -98,6 +101,12 @@
     }
 }
 
+interface TestEntry {
+    readonly follower: FleetFollower;
+    readonly directory: UpstreamDirectory;
+    readonly crashes: CrashObserver;
+}
+
 interface Control {
     readonly directory: UpstreamDirectory;
     fleet: Fleet;
@@ -162,15 +171,58 @@
     simulation.dispose();
 });
 
-test("FleetFollower: crashes counted by several instances quarantine a request at all instances", async () => {
+/** A broken run of request `f`, whose upstream no longer listens. */
+const brokenRun = (upstream: string): BrokenRun => ({ upstream, start: 1, request: "f", ageMs: 0, isRefused: true });
+
+test("FleetFollower: crashes seen by several instances quarantine a request at all instances", async () => {
     const simulation = new FleetSimulation();
     simulation.addControl("a:1", ["a:1"]);
-    const { follower } = simulation.addEntry("e:1", ["a:1"]);
+    const first = simulation.addEntry("e:1", ["a:1"]);
+    const second = simulation.addEntry("e:2", ["a:1"]);
     await simulation.advance(1500);
-    assert.equal(follower.isQuarantined(() => "f"), false);
-    const other = simulation.addEntry("e:2", ["a:1"]);
+    first.crashes.recordBrokenRun(brokenRun("u1"));
+    await simulation.advance(3000);
+    assert.equal(first.follower.isQuarantined(() => "f"), false);
+    second.crashes.recordBrokenRun(brokenRun("u2"));
+    await simulation.advance(3000);
+    for (const { follower } of [first, second]) {
+        assert.equal(follower.isQuarantined(() => "f"), true);
+        assert.equal(follower.isQuarantined(() => "g"), false);
+    }
+    simulation.dispose();
+});
+
+test("FleetFollower: a quarantine outlives the restart of every control instance, and of the instances that saw the crashes", async () => {
+    const simulation = new FleetSimulation();
+    const control = simulation.addControl("a:1", ["a:1"]);
+    const witness = simulation.addEntry("e:1", ["a:1"]);
+    const { follower } = simulation.addEntry("e:2", ["a:1"]);
     await simulation.advance(1500);
+    ["u1", "u2"].forEach(upstream => witness.crashes.recordBrokenRun(brokenRun(upstream)));
+    await simulation.advance(3000);
+    assert.equal(follower.isQuarantined(() => "f"), true);
+    witness.follower.dispose();
+    control.publisher.dispose();
+    simulation.addControl("a:1", ["a:1"]);
+    await simulation.advance(3000);
+    const late = simulation.addEntry("e:3", ["a:1"]);
+    await simulation.advance(1500);
+    assert.equal(late.follower.isQuarantined(() => "f"), true);
+    simulation.dispose();
+});
+
+test("FleetFollower: a control instance that starts again gets the crashes of before", async () => {
+    const simulation = new FleetSimulation();
+    const control = simulation.addControl("a:1", ["a:1"]);
+    const { follower, crashes } = simulation.addEntry("e:1", ["a:1"]);
+    await simulation.advance(1500);
+    crashes.recordBrokenRun(brokenRun("u1"));
+    await simulation.advance(3000);
+    control.publisher.dispose();
+    simulation.addControl("a:1", ["a:1"]);
+    await simulation.advance(3000);
+    crashes.recordBrokenRun(brokenRun("u2"));
+    await simulation.advance(3000);
     assert.equal(follower.isQuarantined(() => "f"), true);
-    assert.equal(other.follower.isQuarantined(() => "g"), false);
     simulation.dispose();
 });
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -8,9 +8,11 @@
 import { type PeerReply } from "../peers/PeerCalls.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { type Clock, sleep } from "../time/Clock.ts";
+import { type Answer, type BrokenRunReport } from "./CrashObserver.ts";
 import { DISCOVERY_MS, EntryRoster } from "./EntryRoster.ts";
 import { emptyFleet, type Fleet } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
+import { QuarantineList } from "./QuarantineList.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** Timeout of a long poll, in ms. A control instance holds a call for less than half of that time. */
@@ -36,10 +38,15 @@
 /** Data that a follower sends to the control instances with each call. */
 export interface FollowerReport {
     readonly outcomes: readonly RouteOutcomeCounts[];
-    readonly crashes: readonly { readonly fingerprint: string; readonly count: number; }[];
     readonly heldSessions: readonly string[];
 }
 
+/** What a follower has seen of crashing upstreams; see `CrashObserver`. */
+export interface CrashObservations {
+    runsSince(since: number): BrokenRunReport;
+    answersTo(keys: Iterable<string>): readonly Answer[];
+}
+
 /** Dependencies of a follower. */
 export interface FleetFollowerDependencies {
     readonly clock: Clock;
@@ -49,6 +56,7 @@
     /** Ids of the control instances to start with. They are never forgotten. */
     readonly seeds: readonly string[];
     readonly report: () => FollowerReport;
+    readonly crashes?: CrashObservations;
 }
 
 /** A control instance became reachable or unreachable. */
@@ -68,7 +76,11 @@
     /** Monotonic time of its last reply, in ms; undefined before the first. */
     answeredAt: number | undefined;
     isReachable: boolean;
-    readonly quarantined: Set<string>;
+    /** Number of the newest broken run that it has received. */
+    reportedRun: number;
+    crashVersion: number;
+    /** Keys of the requests about which it asks. */
+    suspects: readonly string[];
     /** Sessions that some entry instance keeps on their version. */
     heldSessions: ReadonlySet<string>;
     /** Version of `entries`; 0 before the first list. */
@@ -84,6 +96,7 @@
     private readonly fleetChanged = this.register(new Emitter<Fleet>());
     private readonly reachabilityChanged = this.register(new Emitter<ReachabilityChange>());
     private readonly roster: EntryRoster;
+    private readonly quarantines: QuarantineList;
     private current: Fleet = emptyFleet;
     private readonly startedAt: number;
     private maxEntryCount = 0;
@@ -98,6 +111,7 @@
         this.deps = deps;
         this.startedAt = deps.clock.monotonic();
         this.roster = new EntryRoster(deps.clock);
+        this.quarantines = new QuarantineList(deps.clock);
     }
 
     public get fleet(): Fleet {
@@ -142,14 +156,9 @@
         return this.roster.members;
     }
 
-    /**
-     * Whether a control instance has quarantined the request with this fingerprint. The fingerprint is computed only
-     * while there are quarantined requests.
-     */
-    public isQuarantined(fingerprint: () => string): boolean {
-        return [...this.watched.values()].some(peer =>
-            peer.quarantined.size > 0 && peer.quarantined.has(fingerprint())
-        );
+    /** Whether a control instance has quarantined the request with this key, which is computed only if need be. */
+    public isQuarantined(key: () => string): boolean {
+        return !this.quarantines.isEmpty && this.quarantines.has(key());
     }
 
     /** Whether an entry instance has reported that the session must stay on its version. */
@@ -174,7 +183,9 @@
                 discoveredAt: this.deps.clock.monotonic(),
                 answeredAt: undefined,
                 isReachable: false,
-                quarantined: new Set(),
+                reportedRun: 0,
+                crashVersion: 0,
+                suspects: [],
                 heldSessions: new Set(),
                 entriesVersion: 0,
                 entries: [],
@@ -204,10 +215,11 @@
     }
 
     private async watchOnce(id: string, peer: WatchedControl): Promise<void> {
-        const { clock, network, role, report } = this.deps;
+        const { clock, network, role, report, crashes } = this.deps;
         const sentAt = clock.monotonic();
         const mayWait = this.confirmationAgeMs < RENEW_CONFIRMATION_AFTER_MS;
-        const { outcomes, crashes, heldSessions } = report();
+        const { outcomes, heldSessions } = report();
+        const brokenRuns = crashes?.runsSince(peer.reportedRun);
         const req = {
             role,
             epoch: peer.epoch,
@@ -215,11 +227,16 @@
             mayWait,
             revision: this.current.revision,
             outcomes: [...outcomes],
-            crashes: [...crashes],
             heldSessions: [...heldSessions],
             entriesVersion: peer.entriesVersion,
+            brokenRuns: [...brokenRuns?.runs ?? []],
+            answers: [...crashes?.answersTo(peer.suspects) ?? []],
+            crashVersion: peer.crashVersion,
+            quarantines: this.quarantines.active,
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
+        // A control instance that has started again lacks the runs that were reported to its last process.
+        peer.reportedRun = reply.epoch === peer.epoch ? brokenRuns?.last ?? 0 : 0;
         this.applyReply(peer, reply);
         if (reply.revision > this.current.revision) {
             await this.fetch(id, reply.revision);
@@ -242,8 +259,9 @@
         if (reply.entriesVersion > 0) {
             this.roster.recordList(peer.entries);
         }
-        peer.quarantined.clear();
-        reply.quarantined.forEach(fingerprint => peer.quarantined.add(fingerprint));
+        peer.crashVersion = reply.crashVersion;
+        peer.suspects = reply.suspects ?? peer.suspects;
+        reply.quarantines.forEach(item => this.quarantines.merge(item));
         peer.heldSessions = new Set(reply.heldSessions);
         reply.records.forEach(({ record, ageMs }) => this.deps.directory.merge(record, ageMs, true));
         reply.renewals.forEach(([id, start, seq, ageMs]) => this.deps.directory.mergeHeartbeat(id, start, seq, ageMs));
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -5,8 +5,8 @@
 import { Signal } from "../control/Signal.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
-import { type Clock } from "../time/Clock.ts";
-import { CrashHistory } from "./CrashHistory.ts";
+import { type Clock, repeat } from "../time/Clock.ts";
+import { CrashHistory, type Verdict } from "./CrashHistory.ts";
 import { type Fleet } from "./FleetState.ts";
 import { type RouteOutcomeCounts, sumOutcomes } from "./OutcomeCounters.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
@@ -17,6 +17,10 @@
 const BATCH_MS = 500;
 /** Time since its last call after which an entry instance is no longer counted as in service, in ms. */
 const ENTRY_TIMEOUT_MS = 10_000;
+/** How often crashes are evaluated, in ms. */
+const EVALUATION_PERIOD_MS = 200;
+/** Confirmation age above which this instance may lack reports of entry instances, and blames no request, in ms. */
+const MAX_VERDICT_AGE_MS = 2500;
 /** Largest confirmation age that is sent, in ms. It replaces Infinity. */
 const MAX_AGE_MS = 1e9;
 
@@ -30,8 +34,8 @@
     readonly confirmationAgeMs: () => number;
     /** Ids of the known control instances, including this one. */
     readonly controls: () => readonly string[];
-    /** Called with the number of quarantined requests when it has grown. */
-    readonly onQuarantined?: (count: number) => void;
+    /** Called for each request that is quarantined here. */
+    readonly onQuarantined?: (verdict: Verdict) => void;
 }
 
 interface Follower {
@@ -48,7 +52,8 @@
     private readonly followers = new Map<string, Follower>();
     private readonly crashes: CrashHistory;
     private urgentVersion = 0;
-    private quarantineCount = 0;
+    /** Increases when there are other suspects or further quarantines. */
+    private crashVersion = 0;
     /** Ids of the entry instances in service, in the order of their first calls. */
     private entryIds: readonly string[] = [];
     private entriesVersion = 0;
@@ -57,7 +62,8 @@
         super();
         this.deps = deps;
         this.changeSignal = new Signal(deps.clock);
-        this.crashes = new CrashHistory(deps.clock);
+        this.crashes = new CrashHistory(deps.clock, deps.directory);
+        this.register(repeat(deps.clock, EVALUATION_PERIOD_MS, () => this.evaluateCrashes()));
         this.register(deps.directory.onChanged(({ isUrgent }) => {
             if (isUrgent) {
                 this.urgentVersion = deps.directory.version;
@@ -83,8 +89,7 @@
         this.recordFollower(req, from, calledAt);
         const isFirst = req.epoch !== epoch;
         const since = isFirst ? 0 : req.since;
-        const quarantined = this.quarantineCount;
-        while (req.mayWait && !isFirst && !this.isDisposed && !this.hasUrgentChange(req.revision, since, quarantined)) {
+        while (req.mayWait && !isFirst && !this.isDisposed && !this.hasUrgentChange(req)) {
             const waitedMs = clock.monotonic() - calledAt;
             const isBatchDue = waitedMs >= BATCH_MS && this.deps.directory.version > since;
             if (waitedMs >= MAX_HOLD_MS || isBatchDue) {
@@ -92,27 +97,43 @@
             }
             await this.changeSignal.wait(waitedMs < BATCH_MS ? BATCH_MS - waitedMs : MAX_HOLD_MS - waitedMs);
         }
-        return this.reply(since, isFirst ? 0 : req.entriesVersion);
+        return isFirst ? this.reply(0, 0, undefined) : this.reply(since, req.entriesVersion, req.crashVersion);
     }
 
     private recordFollower(req: PeerRequest<"watchFleet">, from: string, now: number): void {
-        const { role, outcomes, heldSessions } = req;
+        const { role, outcomes, heldSessions, brokenRuns, answers, quarantines } = req;
         this.followers.set(from, { role, lastCallAt: now, outcomes, heldSessions });
-        this.crashes.mergeCounts(from, req.crashes);
-        const { size } = this.crashes.quarantined();
-        if (size > this.quarantineCount) {
-            this.changeSignal.fire();
-            this.deps.onQuarantined?.(size);
+        this.crashes.recordRuns(brokenRuns);
+        this.crashes.recordAnswers(answers);
+        if (this.crashes.mergeQuarantines(quarantines)) {
+            this.announceCrashChange();
         }
-        this.quarantineCount = size;
     }
 
-    private hasUrgentChange(revision: number, since: number, quarantined: number): boolean {
+    private evaluateCrashes(): void {
+        const { suspects } = this.crashes;
+        const verdicts = this.crashes.evaluate(this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS);
+        verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
+        if (verdicts.length > 0 || this.crashes.suspects !== suspects) {
+            this.announceCrashChange();
+        }
+    }
+
+    private announceCrashChange(): void {
+        this.crashVersion++;
+        this.changeSignal.fire();
+    }
+
+    private hasUrgentChange({ revision, since, crashVersion }: PeerRequest<"watchFleet">): boolean {
         const isLater = this.deps.fleet().revision > revision;
-        return isLater || this.urgentVersion > since || this.quarantineCount > quarantined;
+        return isLater || this.urgentVersion > since || this.crashVersion !== crashVersion;
     }
 
-    private reply(since: number, entriesVersion: number): PeerReply<"watchFleet"> {
+    private reply(
+        since: number,
+        entriesVersion: number,
+        crashVersion: number | undefined,
+    ): PeerReply<"watchFleet"> {
         const { clock, epoch, directory, fleet, confirmationAgeMs, controls } = this.deps;
         const now = clock.monotonic();
         const { records, heartbeats } = directory.changedSince(since);
@@ -132,7 +153,9 @@
             entryCount: entries.length,
             entriesVersion: this.entriesVersion,
             entries: entriesVersion === this.entriesVersion ? undefined : [...this.entryIds],
-            quarantined: [...this.crashes.quarantined()],
+            quarantines: this.crashes.quarantines.active,
+            crashVersion: this.crashVersion,
+            suspects: crashVersion === this.crashVersion ? undefined : [...this.crashes.suspects],
             heldSessions: [...new Set(entries.flatMap(([, follower]) => follower.heldSessions))],
         };
     }
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -4,8 +4,10 @@
  */
 import { z } from "zod";
 import { billSchema } from "../billing/Bill.ts";
+import { answerSchema, brokenRunSchema } from "../gateway/CrashObserver.ts";
 import { fleetSchema } from "../gateway/FleetState.ts";
 import { routeOutcomeCountsSchema } from "../gateway/OutcomeCounters.ts";
+import { quarantineSchema } from "../gateway/QuarantineList.ts";
 import { upstreamRecordSchema } from "../gateway/UpstreamRecord.ts";
 import { memberSchema } from "../membership/Member.ts";
 import { pinSchema } from "../sessions/SessionPins.ts";
@@ -117,8 +119,14 @@
             revision: z.number(),
             /** Outcomes of versions in a roll-out, counted since the start of the sender's process. */
             outcomes: z.array(routeOutcomeCountsSchema),
-            /** Upstream crashes by request in flight, counted since the start of the sender's process. */
-            crashes: z.array(z.object({ fingerprint: z.string(), count: z.number() })),
+            /** Requests that may have crashed upstreams, each sent once to each process of the receiver. */
+            brokenRuns: z.array(brokenRunSchema).default([]),
+            /** The newest answers to the suspects that the receiver has listed. */
+            answers: z.array(answerSchema).default([]),
+            /** Version of the suspects and quarantines that the sender has received from the receiver; 0 for none. */
+            crashVersion: z.number().default(0),
+            /** Quarantines that the sender knows, so that a receiver that has started again gets them back. */
+            quarantines: z.array(quarantineSchema).default([]),
             /** Sessions that the sender keeps on their version although a roll-out has selected them. */
             heldSessions: z.array(z.string()),
             /** Version of the list of entry instances that the sender has received from the receiver; 0 for none. */
@@ -142,8 +150,12 @@
             entriesVersion: z.number().default(0),
             /** Their ids; undefined if the sender has this version. */
             entries: z.array(z.string()).optional(),
-            /** Fingerprints of requests that no upstream may run any more. */
-            quarantined: z.array(z.string()),
+            /** Requests that no upstream may run any more. */
+            quarantines: z.array(quarantineSchema).default([]),
+            /** Version of the suspects and quarantines. */
+            crashVersion: z.number().default(0),
+            /** Requests of which the receiver asks whether they have been answered; undefined if the sender has this version. */
+            suspects: z.array(z.string()).optional(),
             /** Sessions that some entry instance keeps on their version. */
             heldSessions: z.array(z.string()),
         }),
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -10,7 +10,7 @@
 import { type Clock } from "../../common/time/Clock.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { type RequestLog } from "./RequestLog.ts";
-import { type Call, type CallResult, type CallState, type RequestRouter } from "./RequestRouter.ts";
+import { type Call, type CallResult, type CallState, QUARANTINED, type RequestRouter } from "./RequestRouter.ts";
 
 /** Suggested retry delay when the instance can't serve at the moment, in ms. */
 const RETRY_AFTER_MS = 500;
@@ -18,6 +18,9 @@
 /** Suggested retry delay while the instance stops, in ms: short, because the retry goes to another instance. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
+/** Length of a fingerprint in base64, which is 132 bits. */
+const FINGERPRINT_CHARACTERS = 22;
+
 /** Dependencies of the handler. */
 export interface CallerHandlerDependencies {
     readonly clock: Clock;
@@ -152,9 +155,8 @@
     private run(call: Call, state: CallState): Promise<CallResult> | CallResult {
         const { codec, router, isQuarantined, onAdmitted } = this.deps;
         if (isQuarantined(call.fingerprint)) {
-            const reason = "upstreams crashed while they ran this request";
-            call.reply.sendError(503, codec.refusalHeaders(call.req, undefined), `${reason}; it was not sent again`);
-            return { outcome: "refused", status: 503, reason };
+            call.reply.sendError(503, codec.refusalHeaders(call.req, undefined), QUARANTINED);
+            return { outcome: "refused", status: 503, reason: QUARANTINED };
         }
         onAdmitted(call.service.name);
         return router.route(call, state);
@@ -216,7 +218,11 @@
 
 /** Hash of method, path, API key and body. */
 const fingerprintOf = (req: CallerRequest, body: Buffer | undefined): string =>
-    createHash("sha256").update(`${req.method} ${req.path} ${req.key ?? ""} `).update(body ?? "").digest("hex");
+    createHash("sha256")
+        .update(`${req.method} ${req.path} ${req.key ?? ""} `)
+        .update(body ?? "")
+        .digest("base64url")
+        .slice(0, FINGERPRINT_CHARACTERS);
 
 /** Reads the whole body; with a limit of 0 it is read to its end and discarded. */
 const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | undefined | "tooLarge" | "broken"> => {
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -81,7 +81,7 @@
                 random,
             }),
         );
-        const report = (): FollowerReport => ({ outcomes: [], crashes: [], heldSessions: [] });
+        const report = (): FollowerReport => ({ outcomes: [], heldSessions: [] });
         this.follower = this.register(
             new FleetFollower({ clock, network, role: "control", directory: this.directory, seeds, report }),
         );
@@ -93,7 +93,7 @@
                 fleet: () => this.fleet,
                 confirmationAgeMs: () => this.confirmationAgeMs,
                 controls: () => [network.self, ...this.follower.reachableControls(ADVERTISED_FOR_MS)],
-                onQuarantined: count => log.info("A request is quarantined.", { count }),
+                onQuarantined: ({ key, upstreams }) => log.warn("A request is quarantined.", { key, upstreams }),
             }),
         );
         this.client = new ControlClient(clock, network, this.controlLog, () => this.proposalTargets());
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -3,7 +3,7 @@
  * upstreams.
  */
 import { type ServiceBroker } from "moleculer";
-import { CrashTracker } from "../../common/gateway/CrashTracker.ts";
+import { CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { type ExchangeCodec } from "../../common/gateway/ExchangeCodec.ts";
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { type Fleet } from "../../common/gateway/FleetState.ts";
@@ -15,7 +15,8 @@
 import { ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
-import { processName, UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
+import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
+import { processName, type Selection, UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { mustKeepVersion } from "../../common/gateway/VersionRule.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
@@ -28,7 +29,7 @@
 import { type GatewaySettings } from "./GatewaySettings.ts";
 import { logReachability } from "./ReachabilityLog.ts";
 import { RequestLog } from "./RequestLog.ts";
-import { RequestRouter } from "./RequestRouter.ts";
+import { type Call, RequestRouter } from "./RequestRouter.ts";
 import { UpstreamAttempts } from "./UpstreamAttempts.ts";
 import { UpstreamConnections, type UpstreamTransport } from "./UpstreamConnections.ts";
 
@@ -45,8 +46,6 @@
 const EVICTION_PERIOD_MS = 5000;
 /** Confirmation age up to which the upstream directory counts as up to date, in ms. */
 const QUORUM_CONTACT_MS = 2500;
-/** Most suspect requests that a report to control instances lists. */
-const MAX_CRASHES = 50;
 /** Added to the session time, because the caller's pause starts only when the last response reaches it, in ms. */
 const SESSION_MARGIN_MS = 500;
 const MS_PER_SECOND = 1000;
@@ -79,7 +78,7 @@
     private readonly outcomes = new OutcomeCounters();
     private readonly sessions: SessionVersions;
     private readonly canaryShare: number;
-    private readonly crashTracker: CrashTracker;
+    private readonly crashObserver: CrashObserver;
     /** Current process of each upstream, by upstream id. */
     private readonly processNames = new Map<string, string>();
     private readonly callerServer: HttpServer | undefined;
@@ -96,7 +95,7 @@
         this.canaryShare = createRolloutSchedule(settings.bounds.rollout_exposure).canaryShare;
         this.sessions = new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND + SESSION_MARGIN_MS);
         this.upstreamStats = new UpstreamStatistics(clock);
-        this.crashTracker = new CrashTracker(clock);
+        this.crashObserver = new CrashObserver(clock);
         this.follower = this.register(
             new FleetFollower({
                 clock,
@@ -105,6 +104,7 @@
                 directory: this.directory,
                 seeds,
                 report: () => this.report(),
+                crashes: this.crashObserver,
             }),
         );
         this.connections = this.register(deps.createTransport?.() ?? new UpstreamConnections(now));
@@ -234,7 +234,7 @@
     }
 
     private createAttempts(budget: ServiceRetryBudget): UpstreamAttempts {
-        const { clock, codec, log } = this.deps;
+        const { clock, codec } = this.deps;
         return this.register(
             new UpstreamAttempts({
                 clock,
@@ -246,15 +246,8 @@
                 hasQuorumContact: () => this.hasQuorumContact,
                 escalator: new ModelEscalator(),
                 withdrawForEscalation: service => budget.tryWithdrawForEscalation(service),
-                onConnectionClosed: (call, { name }) => {
-                    this.crashTracker.recordBrokenConnection(name, call.fingerprint());
-                    log.info("A connection broke under a request.", {
-                        req: call.req.id,
-                        upstream: name,
-                        fingerprint: call.fingerprint(),
-                    });
-                },
-                onUnreachable: ({ name }) => this.recordProcessEnd(name, "unreachable"),
+                onConnectionClosed: (call, selection) => void this.recordBrokenRun(call, selection),
+                onAnswered: call => this.crashObserver.recordAnswer(call.fingerprint()),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
                 onUnanswered: (call, { record }, waitedMs) =>
@@ -289,7 +282,6 @@
             const name = processName(record);
             const previous = this.processNames.get(id);
             if (previous !== undefined && previous !== name) {
-                this.recordProcessEnd(previous, "replaced");
                 this.connections.close(previous);
                 this.upstreamStats.remove(previous);
                 this.selector.forget(previous);
@@ -304,10 +296,20 @@
         this.register(repeat(clock, EVICTION_PERIOD_MS / 20, () => this.logLeaseChange()));
     }
 
-    private recordProcessEnd(upstream: string, evidence: string): void {
-        const requests = this.crashTracker.recordProcessEnd(upstream);
-        if (requests > 0) {
-            this.deps.log.info("An upstream process has ended under requests.", { upstream, evidence, requests });
+    /** Records that a connection broke under a request, unless the upstream is leaving or still listens. */
+    private async recordBrokenRun(call: Call, { record, name }: Selection): Promise<void> {
+        const { clock, log } = this.deps;
+        const { id, start } = record;
+        const brokenAt = clock.monotonic();
+        if (this.directory.get(id)?.record.state !== "ready") {
+            return;
+        }
+        const probe = await this.connections.probe(addressOf(record));
+        const request = call.fingerprint();
+        log.info("A connection broke under a request.", { req: call.req.id, upstream: name, request, probe });
+        if (probe !== "accepted") {
+            const ageMs = clock.monotonic() - brokenAt;
+            this.crashObserver.recordBrokenRun({ upstream: id, start, request, ageMs, isRefused: probe === "refused" });
         }
     }
 
@@ -340,7 +342,6 @@
         const running = fleet.rollouts.filter(rollout => rollout.state === "running");
         return {
             outcomes: this.outcomes.select(service => running.some(rollout => rollout.service === service)),
-            crashes: this.crashTracker.crashes.slice(-MAX_CRASHES),
             heldSessions: running.length === 0
                 ? []
                 : this.sessions.select((session, service, version) =>
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -26,6 +26,9 @@
 /** No attempt is sent with less time than this until the deadline, in ms. */
 const MIN_ATTEMPT_MS = 10;
 
+/** Why a request that crashes upstreams is refused. */
+export const QUARANTINED = "upstreams crashed while they ran this request, so it is not sent again";
+
 /** An admitted request. */
 export interface Call {
     readonly req: CallerRequest;
@@ -121,6 +124,9 @@
                 const reason = this.deps.hasLease() ? "no upstream may take the request" : "cut off from control";
                 return this.sendFinalFailure(call, state, reason);
             }
+            if (this.deps.isQuarantined(call.fingerprint)) {
+                return this.sendFinalFailure(call, state, QUARANTINED);
+            }
             const attempt = this.send(call, state, selection);
             const result = await attempt.run();
             if (result === undefined) {
@@ -239,7 +245,8 @@
             return { outcome: "failed", status: head.status, reason };
         }
         if (state.possibleRuns === 0) {
-            reply.sendError(503, codec.refusalHeaders(req, RETRY_AFTER_MS), `${reason}; the request has not run`);
+            const retryAfterMs = reason === QUARANTINED ? undefined : RETRY_AFTER_MS;
+            reply.sendError(503, codec.refusalHeaders(req, retryAfterMs), `${reason}; the request has not run`);
             return { outcome: "refused", status: 503, reason };
         }
         const status = this.remainingMs(call) <= MIN_ATTEMPT_MS ? 504 : 502;
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -63,8 +63,8 @@
     readonly withdrawForEscalation: (service: string) => boolean;
     /** Called when the upstream closed the connection while the request ran. */
     readonly onConnectionClosed: (call: Call, selection: Selection) => void;
-    /** Called when no connection to the upstream could be opened. */
-    readonly onUnreachable: (selection: Selection) => void;
+    /** Called when the upstream has answered the request in full. */
+    readonly onAnswered: (call: Call) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
     /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
@@ -291,7 +291,6 @@
         }
         if (!wasSent && !isAborted) {
             deps.upstreamStats.recordUnreachable(selection.record.domain);
-            deps.onUnreachable(selection);
         }
         const text = `upstream ${selection.record.id}: ${message}`;
         return { message: text, wasSent, mayHaveRun: wasSent, isErrorResponse: false };
@@ -319,6 +318,7 @@
             return { message, wasSent: true, mayHaveRun: true, isErrorResponse: true };
         }
         deps.upstreamStats.recordSuccess(stats);
+        deps.onAnswered(call);
         this.hasResponse = true;
         this.reportResponse();
         call.reply.send(head.status, head.headers, body);
@@ -360,6 +360,7 @@
             });
         }
         deps.upstreamStats.recordSuccess(stats);
+        deps.onAnswered(call);
         call.reply.end();
         return undefined;
     }
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -2,7 +2,7 @@
  * Connections to upstreams: one pool per upstream process, closed when that process is gone. An exchange sends one
  * request and hands out the response as it arrives.
  */
-import { Socket } from "node:net";
+import { connect, Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 
@@ -197,11 +197,15 @@
 ): outcome is ExchangeFailure => outcome !== undefined && "wasSent" in outcome;
 
 /** Carries requests to upstreams. */
-export type UpstreamTransport = Pick<UpstreamConnections, "send" | "close" | "dispose">;
+export type UpstreamTransport = Pick<UpstreamConnections, "send" | "probe" | "close" | "dispose">;
+
+/** Result of a connection attempt: `refused` if nothing listens there, `unanswered` if that isn't known. */
+export type ProbeResult = "accepted" | "refused" | "unanswered";
 
 /** Connection pools by upstream process. */
 export class UpstreamConnections extends DisposableOwner {
     private readonly pools = new Map<string, PoolEntry>();
+    private readonly probes = new Map<string, Promise<ProbeResult>>();
     private readonly now: () => number;
 
     public constructor(now: () => number) {
@@ -228,6 +232,13 @@
         return exchange;
     }
 
+    /** Opens a connection to the address and closes it. Concurrent probes of an address share one connection. */
+    public probe(address: string): Promise<ProbeResult> {
+        const pending = this.probes.get(address) ?? connectOnce(address).finally(() => this.probes.delete(address));
+        this.probes.set(address, pending);
+        return pending;
+    }
+
     /** Closes the connections to an upstream process once its open responses are complete. */
     public close(name: string): void {
         const entry = this.pools.get(name);
@@ -280,3 +291,17 @@
 
 /** Errors while a discarded pool closes concern no request. */
 const ignore = (): void => undefined;
+
+const connectOnce = (address: string): Promise<ProbeResult> =>
+    new Promise(resolve => {
+        const colon = address.lastIndexOf(":");
+        const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+        const settle = (result: ProbeResult): void => {
+            socket.destroy();
+            resolve(result);
+        };
+        socket.setTimeout(CONNECT_TIMEOUT_MS, () => settle("unanswered"));
+        socket.once("connect", () => settle("accepted"));
+        socket.once("error", (err: NodeJS.ErrnoException) =>
+            settle(err.code === "ECONNREFUSED" ? "refused" : "unanswered"));
+    });
