Crashing prompt parts: what several crashing requests share is found and refused

Cause: only whole requests were blamed. The class of fault: evidence is counted by an identity that the next case doesn't share.

Change: broken runs also name the parts of the prompt (without the last), and answers in full are known by part (CallKeys). A part is blamed (CrashBlame) after three crashes that no single request explains, if it was in more than any other part. Parts that were in just the same crashes are quarantined together: only requests with all of them are refused, until an answer or a further crash tells them apart. A part that was answered within 10 s before a crash, or later, on any instance, isn't blamed for it: that clears the parts that sound requests share. A request isn't blamed for crashes that a part explains better. Nothing is counted by account.

--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -17,15 +17,27 @@
     public readonly history = new CrashHistory(this.clock, this.directory);
     private port = 0;
 
-    /** An upstream process ends while it runs these requests. */
+    /** An upstream process ends while it runs these requests, written `REQUEST` or `REQUEST: PART PART`. */
     public crash(upstream: string, ...requests: string[]): void {
         this.break(upstream, true, ...requests);
     }
 
     public break(upstream: string, isRefused: boolean, ...requests: string[]): void {
-        this.history.recordRuns(
-            requests.map(request => ({ upstream, start: START, request, ageMs: 0, isRefused })),
-        );
+        this.history.recordRuns(requests.map(text => {
+            const [request = "", parts] = text.split(": ");
+            const keys = parts?.split(" ").map(part => `part:${part}`) ?? [];
+            return { upstream, start: START, request, parts: keys, ageMs: 0, isRefused };
+        }));
+    }
+
+    /** An entry instance reports that a request with this key has just been answered. */
+    public answer(key: string): void {
+        this.history.recordAnswers([{ key, ageMs: 0 }]);
+    }
+
+    public covers(request: string, ...parts: string[]): boolean {
+        const keys = new Set(parts.map(part => `part:${part}`));
+        return this.history.quarantines.covers({ request: () => request, parts: keys });
     }
 
     public heartbeat(id: string, seq: number, start = START): void {
@@ -47,9 +59,9 @@
 
     /** Lets the time pass; returns the keys that are blamed meanwhile. */
     public evaluate(ms = HEARD_MS): string[] {
-        const keys = this.history.evaluate(true).map(({ key }) => key);
+        const keys = this.history.evaluate(true).map(({ keys }) => keys.join(" "));
         this.clock.advance(ms);
-        return [...keys, ...this.history.evaluate(true).map(({ key }) => key)];
+        return [...keys, ...this.history.evaluate(true).map(({ keys }) => keys.join(" "))];
     }
 }
 
@@ -59,7 +71,7 @@
     assert.deepEqual(control.evaluate(), []);
     control.crash("u2", "bad", "z");
     assert.deepEqual(control.evaluate(), ["bad"]);
-    assert.deepEqual(control.history.quarantines.active.map(({ key }) => key), ["bad"]);
+    assert.deepEqual(control.history.quarantines.active.map(({ keys }) => keys.join(" ")), ["bad"]);
 });
 
 test("CrashHistory: a request that was beside two crashes isn't blamed for those of another", () => {
@@ -83,7 +95,7 @@
 test("CrashHistory: a request that was answered lately, or while it was asked about, isn't blamed", () => {
     const control = new History();
     const observer = new CrashObserver(control.clock);
-    observer.recordAnswer("sound");
+    observer.recordAnswer(["sound"]);
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound"));
     control.history.evaluate(true);
     assert.deepEqual(control.history.suspects, ["sound"]);
@@ -117,10 +129,61 @@
 
 test("CrashHistory: a quarantine that another instance knows is renewed by a single crash", () => {
     const control = new History();
-    control.history.mergeQuarantines([{ key: "bad", ageMs: 599_000 }]);
+    control.history.mergeQuarantines([{ keys: ["bad"], ageMs: 599_000 }]);
     control.clock.advance(2000);
-    assert.equal(control.history.quarantines.has("bad"), false);
+    assert.equal(control.covers("bad"), false);
     control.crash("u1", "bad");
     control.history.evaluate(true);
-    assert.equal(control.history.quarantines.has("bad"), true);
+    assert.equal(control.covers("bad"), true);
+});
+
+// BUDGET: each request with the part was blamed by itself.
+test("CrashHistory: a part that several requests share is blamed after three crashes", () => {
+    const control = new History();
+    control.crash("u1", "r1: bad");
+    control.crash("u2", "r1: bad");
+    control.crash("u3", "r2: bad");
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+    assert.equal(control.covers("r3", "bad"), true);
+    assert.equal(control.covers("r3", "other"), false);
+});
+
+test("CrashHistory: a part is blamed although its first requests were blamed before", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "r1: bad"));
+    assert.deepEqual(control.evaluate(), ["r1"]);
+    control.crash("u4", "r2: bad");
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+});
+
+test("CrashHistory: the parts of one request that comes again, and of what ran beside it, aren't blamed", () => {
+    const control = new History();
+    control.crash("u1", "bad: own", "x: beside");
+    control.crash("u2", "bad: own", "y: beside");
+    control.crash("u3", "bad: own", "z: beside");
+    assert.deepEqual(control.evaluate(), ["bad"]);
+    control.crash("u4", "bad: own", "x: beside");
+    assert.deepEqual(control.evaluate(), []);
+});
+
+test("CrashHistory: parts that were answered, or were in fewer crashes, aren't blamed", () => {
+    const control = new History();
+    control.crash("u1", "r1: system subject bad", "x: system other");
+    control.crash("u2", "r2: system bad", "y: system other");
+    control.crash("u3", "r3: system subject bad", "z: system other");
+    control.crash("u4", "r4: system bad");
+    control.history.evaluate(true);
+    control.answer("part:system");
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+});
+
+test("CrashHistory: of parts that were in the same crashes, only requests with all are refused until one is answered", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => control.crash(upstream, `r${index}: rare bad`));
+    assert.deepEqual(control.evaluate(), ["part:rare part:bad"]);
+    assert.equal(control.covers("r4", "rare", "bad"), true);
+    assert.equal(control.covers("r4", "rare"), false);
+    control.answer("part:rare");
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+    assert.equal(control.covers("r4", "bad"), true);
 });
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -1,27 +1,26 @@
 /**
- * Finds the requests that crash upstreams, from the observations of all entry instances. A connection can break for many
- * reasons, so a broken run counts only when the process of its upstream has ended. Many requests run beside the one that
- * ends a process. Of the requests that were in each of several crashes, the one with the most is blamed first, and its
- * crashes count for no other. Requests that have been answered in full are never blamed for crashes near that time; control
- * instances ask all entry instances for such answers before they decide.
+ * Finds what crashes upstreams, from the observations of all entry instances: requests that come again, and parts that
+ * requests share. A connection can break for many reasons, so a broken run counts only when the process of its upstream has
+ * ended. Requests and parts that have been answered in full are never blamed for crashes near that time; control instances ask
+ * all entry instances for such answers before they decide.
  */
 import { type Clock } from "../time/Clock.ts";
+import { isPartKey } from "./CallKeys.ts";
+import { blameParts, blameRequest, type CrashEvidence, findSuspects } from "./CrashBlame.ts";
 import { type Answer, type BrokenRun } from "./CrashObserver.ts";
 import { type Quarantine, QuarantineList } from "./QuarantineList.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
-/** Crashes after which a request is blamed if no other request was in all of them. */
-const SOLE_CRASHES = 2;
-/** Crashes after which it is blamed in any case. */
-const SHARED_CRASHES = 3;
 /** Time in which entry instances can report answers before a suspect is blamed, in ms. */
 const HEARING_MS = 800;
-/** A crash is not blamed on a request that was answered later, or less than this long before, in ms. */
+/** A crash is not blamed on what was answered later, or less than this long before, in ms. */
 const ANSWER_VALIDITY_MS = 10_000;
 /** A process whose heartbeats stop ends with its connections, even if its address doesn't refuse others, in ms. */
 const SILENCE_MS = 3000;
 /** A heartbeat that arrives within this time after the end of a connection may have been sent before, in ms. */
 const HEARTBEAT_DELAY_MS = 200;
+/** How long crashes are evaluated after the last broken run, in ms. */
+const ACTIVE_MS = 30_000;
 /** How long crashes are kept, in ms. */
 const RETENTION_MS = 600_000;
 const MAX_CRASHES = 300;
@@ -29,22 +28,31 @@
 const MAX_RUNS = 100;
 /** Most suspects that entry instances are asked about. */
 const MAX_SUSPECTS = 100;
+/** Most verdicts of one evaluation; the others follow in the next ones. */
+const MAX_VERDICTS = 10;
 /** Most suspects whose newest answers are kept. */
 const MAX_ANSWERS = 1000;
 
+interface Run {
+    /** Monotonic time at which the connection broke, in ms. */
+    readonly at: number;
+    readonly parts: readonly string[];
+}
+
 /** The possible crash of one process. */
 interface Crash {
     readonly upstream: string;
     readonly start: number;
-    /** Monotonic time at which the connection of each request broke, in ms. */
-    readonly runs: Map<string, number>;
+    /** Runs by the key of the request. */
+    readonly runs: Map<string, Run>;
     /** Monotonic time at which a connection was refused, in ms. */
     refusedAt: number;
 }
 
-/** A request that has been blamed. */
+/** What has been blamed. */
 export interface Verdict {
-    readonly key: string;
+    /** Requests with all of these keys are quarantined. */
+    readonly keys: readonly string[];
     /** Ids of the upstreams that crashed. */
     readonly upstreams: readonly string[];
 }
@@ -60,6 +68,7 @@
     /** Monotonic time since which entry instances have been asked about each suspect, in ms. */
     private readonly askedSince = new Map<string, number>();
     private suspectKeys: readonly string[] = [];
+    private lastRunAt = -Infinity;
 
     public constructor(clock: Clock, directory: UpstreamDirectory) {
         this.clock = clock;
@@ -74,16 +83,18 @@
 
     public recordRuns(runs: readonly BrokenRun[]): void {
         const now = this.clock.monotonic();
-        for (const { upstream, start, request, ageMs, isRefused } of runs) {
+        for (const { upstream, start, request, parts, ageMs, isRefused } of runs) {
             const name = `${upstream} ${start}`;
             const crash = this.crashes.get(name)
-                ?? { upstream, start, runs: new Map<string, number>(), refusedAt: -Infinity };
+                ?? { upstream, start, runs: new Map<string, Run>(), refusedAt: -Infinity };
             const at = now - ageMs;
-            if (crash.runs.has(request) || crash.runs.size < MAX_RUNS) {
-                crash.runs.set(request, Math.max(at, crash.runs.get(request) ?? -Infinity));
+            const previous = crash.runs.get(request);
+            if (previous === undefined ? crash.runs.size < MAX_RUNS : previous.at < at) {
+                crash.runs.set(request, { at, parts });
             }
             crash.refusedAt = isRefused ? Math.max(at, crash.refusedAt) : crash.refusedAt;
             this.crashes.set(name, crash);
+            this.lastRunAt = now;
         }
         this.evictOld(now);
     }
@@ -107,62 +118,81 @@
      * the new verdicts.
      */
     public evaluate(mayBlame: boolean): Verdict[] {
-        const crashes = this.findUnexplained();
-        this.updateSuspects(crashes);
-        const verdicts: Verdict[] = [];
-        if (!mayBlame) {
-            return verdicts;
+        if (this.clock.monotonic() - this.lastRunAt > ACTIVE_MS) {
+            this.updateSuspects([]);
+            return [];
         }
-        for (let verdict = this.findCulprit(crashes); verdict !== undefined; verdict = this.findCulprit(crashes)) {
-            this.quarantines.merge({ key: verdict.key, ageMs: 0 });
-            verdicts.push(verdict);
-            for (const [crash, keys] of crashes) {
-                if (keys.has(verdict.key)) {
-                    crashes.delete(crash);
-                }
+        const evidence = this.collectEvidence();
+        this.updateSuspects(findSuspects(evidence).slice(0, MAX_SUSPECTS));
+        const verdicts: Verdict[] = [];
+        while (mayBlame && verdicts.length < MAX_VERDICTS) {
+            const keys = this.blame(evidence);
+            if (keys === undefined) {
+                break;
             }
+            const upstreams = evidence.filter(crash => isCausedBy(crash, keys)).map(({ upstream }) => upstream);
+            verdicts.push({ keys, upstreams });
+            this.quarantines.merge({ keys: [...keys], ageMs: 0 });
         }
         return verdicts;
     }
 
-    /** The processes that have ended without a known cause, with the requests that may be the cause. */
-    private findUnexplained(): Map<Crash, Set<string>> {
-        const found = new Map<Crash, Set<string>>();
+    /** The keys of what is to blame for crashes that no quarantine explains. */
+    private blame(evidence: readonly CrashEvidence[]): readonly string[] | undefined {
+        const { known } = this.quarantines;
+        const isNew = (keys: readonly string[]): boolean =>
+            !known.some(other => other.length === keys.length && other.every(key => keys.includes(key)));
+        // A request with a part that crashes upstreams may have been blamed first, for crashes that the part explains.
+        const knownParts = known.filter(([key = "", ...others]) => others.length === 0 && isPartKey(key));
+        const parts = blameParts(withoutCauses(evidence, knownParts), this.isHeard);
+        if (parts !== undefined && isNew(parts)) {
+            return parts;
+        }
+        const request = blameRequest(withoutCauses(evidence, known), this.isHeard);
+        return request === undefined ? undefined : [request];
+    }
+
+    private readonly isHeard = (key: string): boolean =>
+        this.clock.monotonic() - (this.askedSince.get(key) ?? Infinity) >= HEARING_MS;
+
+    /** The processes that have ended, with what may be the cause. Renews the quarantines that explain some. */
+    private collectEvidence(): CrashEvidence[] {
+        const now = this.clock.monotonic();
+        const evidence: CrashEvidence[] = [];
         for (const crash of this.crashes.values()) {
-            const keys = this.findPossibleCauses(crash);
-            const known = [...keys].filter(key => this.quarantines.isKnown(key));
-            const now = this.clock.monotonic();
-            known.forEach(key => this.quarantines.merge({ key, ageMs: now - (crash.runs.get(key) ?? now) }));
-            if (known.length === 0 && keys.size > 0) {
-                found.set(crash, keys);
+            const runs = this.findPossibleCauses(crash);
+            if (runs.size === 0) {
+                continue;
             }
+            const item = { upstream: crash.upstream, runs };
+            evidence.push(item);
+            const lastAt = Math.max(...[...crash.runs.values()].map(({ at }) => at));
+            this.quarantines.known
+                .filter(keys => isCausedBy(item, keys))
+                .forEach(keys => this.quarantines.merge({ keys: [...keys], ageMs: now - lastAt }));
         }
-        return found;
+        return evidence;
     }
 
-    private findPossibleCauses({ upstream, start, runs, refusedAt }: Crash): Set<string> {
+    private findPossibleCauses({ upstream, start, runs, refusedAt }: Crash): Map<string, ReadonlySet<string>> {
         const now = this.clock.monotonic();
         const current = this.directory.get(upstream);
         const isReplaced = current !== undefined && current.record.start > start;
         const aliveAt = current?.record.start === start ? current.receivedAt - HEARTBEAT_DELAY_MS : -Infinity;
-        const keys = new Set<string>();
-        for (const [key, at] of runs) {
+        const causes = new Map<string, ReadonlySet<string>>();
+        for (const [request, { at, parts }] of runs) {
             const hasEnded = isReplaced || (aliveAt < at && (refusedAt >= at || now - at > SILENCE_MS));
-            const isAnswered = (this.answeredAt.get(key) ?? -Infinity) + ANSWER_VALIDITY_MS > at;
-            if (hasEnded && !isAnswered) {
-                keys.add(key);
+            const isAnswered = (key: string): boolean =>
+                (this.answeredAt.get(key) ?? -Infinity) + ANSWER_VALIDITY_MS > at;
+            if (hasEnded && !isAnswered(request)) {
+                causes.set(request, new Set(parts.filter(part => !isAnswered(part))));
             }
         }
-        return keys;
+        return causes;
     }
 
-    private updateSuspects(crashes: ReadonlyMap<Crash, ReadonlySet<string>>): void {
+    private updateSuspects(suspects: readonly string[]): void {
         const now = this.clock.monotonic();
-        const suspects = [...countCrashes(crashes)]
-            .filter(([, count]) => count >= SOLE_CRASHES)
-            .sort(([, a], [, b]) => b - a)
-            .slice(0, MAX_SUSPECTS)
-            .map(([key]) => key);
         for (const key of this.askedSince.keys()) {
             if (!suspects.includes(key)) {
                 this.askedSince.delete(key);
@@ -174,24 +204,9 @@
         }
     }
 
-    /** The request that explains the most crashes, if the evidence suffices. */
-    private findCulprit(crashes: ReadonlyMap<Crash, ReadonlySet<string>>): Verdict | undefined {
-        const counts = countCrashes(crashes);
-        const most = Math.max(0, ...counts.values());
-        const candidates = [...counts].filter(([, count]) => count === most).map(([key]) => key);
-        const key = candidates.find(item => this.isHeard(item) && isProven(item, most, crashes, candidates));
-        return key === undefined
-            ? undefined
-            : { key, upstreams: crashesWith(key, crashes).map(crash => crash.upstream) };
-    }
-
-    private isHeard(key: string): boolean {
-        return this.clock.monotonic() - (this.askedSince.get(key) ?? Infinity) >= HEARING_MS;
-    }
-
     private evictOld(now: number): void {
         for (const [name, { runs }] of this.crashes) {
-            const lastAt = Math.max(...runs.values());
+            const lastAt = Math.max(...[...runs.values()].map(({ at }) => at));
             if (this.crashes.size > MAX_CRASHES || now - lastAt > RETENTION_MS) {
                 this.crashes.delete(name);
             }
@@ -204,30 +219,11 @@
     }
 }
 
-/** Number of crashes by key. */
-const countCrashes = (crashes: ReadonlyMap<Crash, ReadonlySet<string>>): Map<string, number> => {
-    const counts = new Map<string, number>();
-    for (const keys of crashes.values()) {
-        for (const key of keys) {
-            counts.set(key, (counts.get(key) ?? 0) + 1);
-        }
-    }
-    return counts;
-};
-
-const crashesWith = (key: string, crashes: ReadonlyMap<Crash, ReadonlySet<string>>): Crash[] =>
-    [...crashes].filter(([, keys]) => keys.has(key)).map(([crash]) => crash);
-
-/** Whether `count` crashes suffice to blame the key, given the others with as many. */
-const isProven = (
-    key: string,
-    count: number,
-    crashes: ReadonlyMap<Crash, ReadonlySet<string>>,
-    candidates: readonly string[],
-): boolean => {
-    if (count < SOLE_CRASHES || count >= SHARED_CRASHES) {
-        return count >= SHARED_CRASHES;
-    }
-    const own = crashesWith(key, crashes);
-    return !candidates.some(other => other !== key && own.every(crash => crashes.get(crash)?.has(other) === true));
-};
+/** Whether a request with all of these keys was in the crash. */
+const isCausedBy = ({ runs }: CrashEvidence, keys: readonly string[]): boolean =>
+    [...runs].some(([request, parts]) => keys.every(key => isPartKey(key) ? parts.has(key) : request === key));
+
+const withoutCauses = (
+    evidence: readonly CrashEvidence[],
+    causes: readonly (readonly string[])[],
+): CrashEvidence[] => evidence.filter(crash => !causes.some(keys => isCausedBy(crash, keys)));
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -18,8 +18,9 @@
     /** Id and start of the process of the upstream. */
     upstream: z.string(),
     start: z.number(),
-    /** Key of the request; see `CallKeys`. */
+    /** Keys of the request and of the parts of its prompt; see `CallKeys`. */
     request: z.string(),
+    parts: z.array(z.string()),
     /** Time since the connection broke, in ms. */
     ageMs: z.number(),
     /** Whether nothing listened at the upstream's address right afterwards. */
@@ -68,10 +69,13 @@
         this.runs = this.runs.filter(({ at }) => now - at <= RUN_RETENTION_MS).slice(-MAX_RUNS);
     }
 
-    public recordAnswer(key: string): void {
+    /** Records that a request with these keys was answered in full. */
+    public recordAnswer(keys: Iterable<string>): void {
         const now = this.clock.monotonic();
-        this.answeredAt.delete(key);
-        this.answeredAt.set(key, now);
+        for (const key of keys) {
+            this.answeredAt.delete(key);
+            this.answeredAt.set(key, now);
+        }
         for (const [oldest, at] of this.answeredAt) {
             if (this.answeredAt.size <= MAX_ANSWERS && now - at <= ANSWER_RETENTION_MS) {
                 break;
@@ -85,10 +89,11 @@
         const now = this.clock.monotonic();
         const reported = this.runs.filter(({ number }) => number > since).slice(0, MAX_REPORTED_RUNS);
         return {
-            runs: reported.map(({ upstream, start, request, at, isRefused }) => ({
+            runs: reported.map(({ upstream, start, request, parts, at, isRefused }) => ({
                 upstream,
                 start,
                 request,
+                parts,
                 ageMs: now - at,
                 isRefused,
             })),
--- a/src/common/gateway/FleetFollower.test.ts
+++ b/src/common/gateway/FleetFollower.test.ts
@@ -3,6 +3,7 @@
 import { MemoryHub } from "../../../addons/fakes/MemoryNetwork.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { ManualClock } from "../time/ManualClock.ts";
+import { type CallKeys } from "./CallKeys.ts";
 import { type BrokenRun, CrashObserver } from "./CrashObserver.ts";
 import { FleetFollower } from "./FleetFollower.ts";
 import { FleetPublisher } from "./FleetPublisher.ts";
@@ -28,6 +29,8 @@
     coldMs: 0,
 });
 
+const callOf = (request: string): CallKeys => ({ request: () => request, parts: new Set() });
+
 const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
 /** Simulated control and entry instances whose network connections can be cut. */
@@ -172,7 +175,14 @@
 });
 
 /** A broken run of request `f`, whose upstream no longer listens. */
-const brokenRun = (upstream: string): BrokenRun => ({ upstream, start: 1, request: "f", ageMs: 0, isRefused: true });
+const brokenRun = (upstream: string): BrokenRun => ({
+    upstream,
+    start: 1,
+    request: "f",
+    parts: [],
+    ageMs: 0,
+    isRefused: true,
+});
 
 test("FleetFollower: crashes seen by several instances quarantine a request at all instances", async () => {
     const simulation = new FleetSimulation();
@@ -182,12 +192,12 @@
     await simulation.advance(1500);
     first.crashes.recordBrokenRun(brokenRun("u1"));
     await simulation.advance(3000);
-    assert.equal(first.follower.isQuarantined(() => "f"), false);
+    assert.equal(first.follower.isQuarantined(callOf("f")), false);
     second.crashes.recordBrokenRun(brokenRun("u2"));
     await simulation.advance(3000);
     for (const { follower } of [first, second]) {
-        assert.equal(follower.isQuarantined(() => "f"), true);
-        assert.equal(follower.isQuarantined(() => "g"), false);
+        assert.equal(follower.isQuarantined(callOf("f")), true);
+        assert.equal(follower.isQuarantined(callOf("g")), false);
     }
     simulation.dispose();
 });
@@ -200,14 +210,14 @@
     await simulation.advance(1500);
     ["u1", "u2"].forEach(upstream => witness.crashes.recordBrokenRun(brokenRun(upstream)));
     await simulation.advance(3000);
-    assert.equal(follower.isQuarantined(() => "f"), true);
+    assert.equal(follower.isQuarantined(callOf("f")), true);
     witness.follower.dispose();
     control.publisher.dispose();
     simulation.addControl("a:1", ["a:1"]);
     await simulation.advance(3000);
     const late = simulation.addEntry("e:3", ["a:1"]);
     await simulation.advance(1500);
-    assert.equal(late.follower.isQuarantined(() => "f"), true);
+    assert.equal(late.follower.isQuarantined(callOf("f")), true);
     simulation.dispose();
 });
 
@@ -223,6 +233,6 @@
     await simulation.advance(3000);
     crashes.recordBrokenRun(brokenRun("u2"));
     await simulation.advance(3000);
-    assert.equal(follower.isQuarantined(() => "f"), true);
+    assert.equal(follower.isQuarantined(callOf("f")), true);
     simulation.dispose();
 });
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -8,6 +8,7 @@
 import { type PeerReply } from "../peers/PeerCalls.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { type Clock, sleep } from "../time/Clock.ts";
+import { type CallKeys } from "./CallKeys.ts";
 import { type Answer, type BrokenRunReport } from "./CrashObserver.ts";
 import { DISCOVERY_MS, EntryRoster } from "./EntryRoster.ts";
 import { emptyFleet, type Fleet } from "./FleetState.ts";
@@ -156,9 +157,9 @@
         return this.roster.members;
     }
 
-    /** Whether a control instance has quarantined the request with this key, which is computed only if need be. */
-    public isQuarantined(key: () => string): boolean {
-        return !this.quarantines.isEmpty && this.quarantines.has(key());
+    /** Whether a control instance has quarantined the request. */
+    public isQuarantined(call: CallKeys): boolean {
+        return this.quarantines.covers(call);
     }
 
     /** Whether an entry instance has reported that the session must stay on its version. */
--- a/src/common/gateway/QuarantineList.ts
+++ b/src/common/gateway/QuarantineList.ts
@@ -1,18 +1,19 @@
 /**
- * The requests that no upstream may run any more, because they crash upstreams. Control instances decide on them; every
- * instance keeps the list and passes it on, so that it outlives the restart of each.
+ * What requests have in common that no upstream may run any more, because it crashes upstreams. Control instances decide
+ * on it; every instance keeps the list and passes it on, so that it outlives the restart of each.
  */
 import { z } from "zod";
 import { type Clock } from "../time/Clock.ts";
+import { type CallKeys, hasKey } from "./CallKeys.ts";
 
 /** How long a quarantine lasts after the last crash, in ms. */
 const QUARANTINE_MS = 600_000;
-/** Most keys that are kept, those whose quarantine is over included. */
-const MAX_KEYS = 200;
+/** Most quarantines that are kept, those that are over included. */
+const MAX_QUARANTINES = 200;
 
 export const quarantineSchema = z.object({
-    /** What the quarantined requests have in common; see `CallKeys`. */
-    key: z.string(),
+    /** Requests with all of these keys are quarantined; see `CallKeys`. */
+    keys: z.array(z.string()),
     /** Time since the last crash, in ms. */
     ageMs: z.number(),
 });
@@ -20,11 +21,16 @@
 /** A quarantine, as instances tell it to each other. */
 export type Quarantine = z.infer<typeof quarantineSchema>;
 
-/** Quarantined keys. */
+interface QuarantineEntry {
+    readonly keys: readonly string[];
+    /** Monotonic time of the last crash, in ms. */
+    readonly crashedAt: number;
+}
+
+/** Quarantines, and those that are over: a single further crash renews them. */
 export class QuarantineList {
     private readonly clock: Clock;
-    /** Monotonic time of the last crash by key, in ms. */
-    private readonly crashedAt = new Map<string, number>();
+    private readonly entries = new Map<string, QuarantineEntry>();
 
     public constructor(clock: Clock) {
         this.clock = clock;
@@ -33,33 +39,38 @@
     /** The quarantines in force. */
     public get active(): Quarantine[] {
         const now = this.clock.monotonic();
-        return [...this.crashedAt]
-            .map(([key, at]) => ({ key, ageMs: now - at }))
+        return [...this.entries.values()]
+            .map(({ keys, crashedAt }) => ({ keys: [...keys], ageMs: now - crashedAt }))
             .filter(({ ageMs }) => ageMs < QUARANTINE_MS);
     }
 
-    public get isEmpty(): boolean {
-        return this.crashedAt.size === 0;
-    }
-
-    public has(key: string): boolean {
-        return this.clock.monotonic() - (this.crashedAt.get(key) ?? -Infinity) < QUARANTINE_MS;
+    /** The keys of all quarantines, those that are over included. */
+    public get known(): (readonly string[])[] {
+        return [...this.entries.values()].map(({ keys }) => keys);
     }
 
-    /** Whether the key is, or has been, quarantined. A single further crash then renews the quarantine. */
-    public isKnown(key: string): boolean {
-        return this.crashedAt.has(key);
+    /** Whether a quarantine in force covers the request. */
+    public covers(call: CallKeys): boolean {
+        const now = this.clock.monotonic();
+        for (const { keys, crashedAt } of this.entries.values()) {
+            if (now - crashedAt < QUARANTINE_MS && keys.every(key => hasKey(call, key))) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Adds or renews a quarantine; returns whether it was not in force before. */
-    public merge({ key, ageMs }: Quarantine): boolean {
-        const wasActive = this.has(key);
-        const at = Math.max(this.crashedAt.get(key) ?? -Infinity, this.clock.monotonic() - ageMs);
-        this.crashedAt.set(key, at);
-        if (this.crashedAt.size > MAX_KEYS) {
-            const [oldest] = [...this.crashedAt].sort(([, a], [, b]) => a - b);
-            this.crashedAt.delete(oldest?.[0] ?? key);
+    public merge({ keys, ageMs }: Quarantine): boolean {
+        const name = [...keys].sort().join(" ");
+        const now = this.clock.monotonic();
+        const previousAt = this.entries.get(name)?.crashedAt ?? -Infinity;
+        const crashedAt = Math.max(previousAt, now - ageMs);
+        this.entries.set(name, { keys, crashedAt });
+        if (this.entries.size > MAX_QUARANTINES) {
+            const [oldest] = [...this.entries].sort(([, a], [, b]) => a.crashedAt - b.crashedAt);
+            this.entries.delete(oldest?.[0] ?? name);
         }
-        return !wasActive && this.has(key);
+        return now - previousAt >= QUARANTINE_MS && now - crashedAt < QUARANTINE_MS;
     }
 }
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -3,6 +3,7 @@
  */
 import { createHash } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { type CallKeys, partKeysOf } from "../../common/gateway/CallKeys.ts";
 import { type CallerRequest, type ExchangeCodec } from "../../common/gateway/ExchangeCodec.ts";
 import { type Account, type Route, type Service } from "../../common/gateway/GatewayConfig.ts";
 import { type RouteTable } from "../../common/gateway/RouteTable.ts";
@@ -18,8 +19,8 @@
 /** Suggested retry delay while the instance stops, in ms: short, because the retry goes to another instance. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
-/** Length of a fingerprint in base64, which is 132 bits. */
-const FINGERPRINT_CHARACTERS = 22;
+/** Length of a hash in base64, which is 132 bits. */
+const HASH_CHARACTERS = 22;
 
 /** Dependencies of the handler. */
 export interface CallerHandlerDependencies {
@@ -31,7 +32,7 @@
     readonly routeTable: () => RouteTable | undefined;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
-    readonly isQuarantined: (fingerprint: () => string) => boolean;
+    readonly isQuarantined: (keys: CallKeys) => boolean;
     /** Called when a request for the service has been admitted. */
     readonly onAdmitted: (service: string) => void;
 }
@@ -154,7 +155,7 @@
 
     private run(call: Call, state: CallState): Promise<CallResult> | CallResult {
         const { codec, router, isQuarantined, onAdmitted } = this.deps;
-        if (isQuarantined(call.fingerprint)) {
+        if (isQuarantined(call.keys)) {
             call.reply.sendError(503, codec.refusalHeaders(call.req, undefined), QUARANTINED);
             return { outcome: "refused", status: 503, reason: QUARANTINED };
         }
@@ -203,8 +204,11 @@
     ): Call {
         const timeoutMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
         let cached: string | undefined;
-        const fingerprint = (): string => cached ??= fingerprintOf(req, body);
-        return { req, route, service, account, body, fingerprint, arrivedAt, deadlineAt: arrivedAt + timeoutMs, reply };
+        const keys = {
+            request: () => cached ??= fingerprintOf(req, body),
+            parts: partKeysOf(req.prompt, service.name, shortHash),
+        };
+        return { req, route, service, account, body, keys, arrivedAt, deadlineAt: arrivedAt + timeoutMs, reply };
     }
 
     private refuse(request: CallerRequest, reply: CallerReply, refusal: Refusal, arrivedAt: number): void {
@@ -216,13 +220,16 @@
     }
 }
 
+/** Hash of texts and bytes, short because keys travel between instances. */
+const shortHash = (...contents: readonly (string | Buffer)[]): string => {
+    const hash = createHash("sha256");
+    contents.forEach(content => hash.update(content));
+    return hash.digest("base64url").slice(0, HASH_CHARACTERS);
+};
+
 /** Hash of method, path, API key and body. */
 const fingerprintOf = (req: CallerRequest, body: Buffer | undefined): string =>
-    createHash("sha256")
-        .update(`${req.method} ${req.path} ${req.key ?? ""} `)
-        .update(body ?? "")
-        .digest("base64url")
-        .slice(0, FINGERPRINT_CHARACTERS);
+    shortHash(`${req.method} ${req.path} ${req.key ?? ""} `, body ?? "");
 
 /** Reads the whole body; with a limit of 0 it is read to its end and discarded. */
 const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | undefined | "tooLarge" | "broken"> => {
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -93,7 +93,7 @@
                 fleet: () => this.fleet,
                 confirmationAgeMs: () => this.confirmationAgeMs,
                 controls: () => [network.self, ...this.follower.reachableControls(ADVERTISED_FOR_MS)],
-                onQuarantined: ({ key, upstreams }) => log.warn("A request is quarantined.", { key, upstreams }),
+                onQuarantined: ({ keys, upstreams }) => log.warn("Requests are quarantined.", { keys, upstreams }),
             }),
         );
         this.client = new ControlClient(clock, network, this.controlLog, () => this.proposalTargets());
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -3,6 +3,7 @@
  * upstreams.
  */
 import { type ServiceBroker } from "moleculer";
+import { type CallKeys } from "../../common/gateway/CallKeys.ts";
 import { CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { type ExchangeCodec } from "../../common/gateway/ExchangeCodec.ts";
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
@@ -115,7 +116,7 @@
             () => ({ revision: this.follower.fleet.revision, confirmationAgeMs: this.follower.confirmationAgeMs }),
             (call, result, ms) => deps.metrics.observe(call?.route.name ?? "none", result.outcome, ms),
         );
-        const isQuarantined = (fingerprint: () => string): boolean => this.follower.isQuarantined(fingerprint);
+        const isQuarantined = (keys: CallKeys): boolean => this.follower.isQuarantined(keys);
         const { retry_ratio: ratio, retry_slack: slack, retry_window_s: windowS } = settings.bounds;
         const budget = new ServiceRetryBudget(
             clock,
@@ -247,7 +248,7 @@
                 escalator: new ModelEscalator(),
                 withdrawForEscalation: service => budget.tryWithdrawForEscalation(service),
                 onConnectionClosed: (call, selection) => void this.recordBrokenRun(call, selection),
-                onAnswered: call => this.crashObserver.recordAnswer(call.fingerprint()),
+                onAnswered: ({ keys }) => this.crashObserver.recordAnswer([keys.request(), ...keys.parts]),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
                 onUnanswered: (call, { record }, waitedMs) =>
@@ -305,11 +306,17 @@
             return;
         }
         const probe = await this.connections.probe(addressOf(record));
-        const request = call.fingerprint();
+        const request = call.keys.request();
         log.info("A connection broke under a request.", { req: call.req.id, upstream: name, request, probe });
         if (probe !== "accepted") {
-            const ageMs = clock.monotonic() - brokenAt;
-            this.crashObserver.recordBrokenRun({ upstream: id, start, request, ageMs, isRefused: probe === "refused" });
+            this.crashObserver.recordBrokenRun({
+                upstream: id,
+                start,
+                request,
+                parts: [...call.keys.parts],
+                ageMs: clock.monotonic() - brokenAt,
+                isRefused: probe === "refused",
+            });
         }
     }
 
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -2,6 +2,7 @@
  * Routes one admitted request until its caller has a response: picks an upstream, sends the attempt, and decides after
  * a failure whether to retry. A request that must not run twice is retried only if it certainly has not run.
  */
+import { type CallKeys } from "../../common/gateway/CallKeys.ts";
 import { type EventSplitter } from "../../common/gateway/EventSplitter.ts";
 import { type CallerRequest, type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
 import { type Fleet } from "../../common/gateway/FleetState.ts";
@@ -27,7 +28,7 @@
 const MIN_ATTEMPT_MS = 10;
 
 /** Why a request that crashes upstreams is refused. */
-export const QUARANTINED = "upstreams crashed while they ran this request, so it is not sent again";
+export const QUARANTINED = "upstreams crashed under this request, or under others with a part of its prompt";
 
 /** An admitted request. */
 export interface Call {
@@ -36,8 +37,8 @@
     readonly service: Service;
     readonly account: Account | undefined;
     readonly body: Buffer | undefined;
-    /** Hash of the caller and content of the request; the same when the caller repeats it. */
-    readonly fingerprint: () => string;
+    /** The request's own key is a hash of its caller and content, which is the same when the caller repeats it. */
+    readonly keys: CallKeys;
     /** Monotonic time at which its headers had arrived, in ms. */
     readonly arrivedAt: number;
     /** Monotonic time by which its response must be complete, in ms. */
@@ -70,7 +71,7 @@
     readonly fleet: () => Fleet;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
-    readonly isQuarantined: (fingerprint: () => string) => boolean;
+    readonly isQuarantined: (keys: CallKeys) => boolean;
     /** Whether another entry instance reports that the session must keep its version. */
     readonly isSessionPinned: (session: string) => boolean;
 }
@@ -124,7 +125,7 @@
                 const reason = this.deps.hasLease() ? "no upstream may take the request" : "cut off from control";
                 return this.sendFinalFailure(call, state, reason);
             }
-            if (this.deps.isQuarantined(call.fingerprint)) {
+            if (this.deps.isQuarantined(call.keys)) {
                 return this.sendFinalFailure(call, state, QUARANTINED);
             }
             const attempt = this.send(call, state, selection);
@@ -221,13 +222,13 @@
     }
 
     private mayRetry(call: Call, state: CallState, failure: AttemptFailure): boolean {
-        const { route, fingerprint } = call;
+        const { route, keys } = call;
         if (!failure.mayHaveRun) {
             return true;
         }
         const isRetryable = route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
         const hasResumePoint = !call.reply.hasBegun || state.splitter?.lastEventId !== undefined;
-        const isNotQuarantined = !this.deps.isQuarantined(fingerprint);
+        const isNotQuarantined = !this.deps.isQuarantined(keys);
         return isRetryable && hasResumePoint && isNotQuarantined && state.possibleRuns < route.maxAttempts;
     }
 
