Upstreams: a response or event that doesn't end is cut off instead of filling the memory

With one-byte chunks the answer came 1.8 s after the deadline, as nothing else ran meanwhile.

Cause: plain answers are buffered, and events are held back until they are complete, both without a limit.

Change: a response over 4 MiB and an event over 256 KiB fail the attempt, which closes the connection; each chunk counts 256 bytes more. Heads were limited before (16 KiB in undici; empty lines in place of a head hold a connection until the deadline).

Tests: nine ways to send without end, on a plain idempotent, a plain non-idempotent and a stream route. Before the change five of the nine failed. Also tested: a stream with neither length nor chunks, whole and broken off within an event (it passed before).

--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -29,6 +29,12 @@
 /** How long an upstream gets no requests after it refused one because it is full, in ms. */
 const FULL_PAUSE_MS = 60;
 
+/** Largest response that is buffered, and largest event of a stream, in bytes. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+const MAX_EVENT_BYTES = 256 * 1024;
+/** Added to the length of each chunk, because many small ones take more memory and time than their bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
+
 /** Number of pauses between events from which the pace of a stream is determined; fewer if it ends sooner. */
 const PACE_PAUSES = 9;
 /** Least number of pauses. */
@@ -300,6 +306,7 @@
     private async relayBuffered(head: ResponseHead): Promise<AttemptFailure | undefined> {
         const { deps, call, state, selection: { stats, record } } = this;
         const chunks: Buffer[] = [];
+        let size = 0;
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isFailure(chunk)) {
@@ -309,6 +316,10 @@
                 break;
             }
             chunks.push(chunk);
+            size += chunk.length + CHUNK_OVERHEAD_BYTES;
+            if (size > MAX_RESPONSE_BYTES) {
+                return this.fail({ ...unusableResponse, message: "the response is too large" });
+            }
         }
         const body = Buffer.concat(chunks);
         if (head.status >= 500) {
@@ -330,6 +341,7 @@
         const { deps, call, state, selection: { stats } } = this;
         const splitter = state.splitter ?? new EventSplitter();
         splitter.discardPartial();
+        let incompleteSize = 0;
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isFailure(chunk)) {
@@ -340,9 +352,14 @@
             }
             stats.lastByteAt = deps.clock.monotonic();
             const events = splitter.push(chunk);
-            if (events.length === 0) {
+            incompleteSize += chunk.length + CHUNK_OVERHEAD_BYTES;
+            if (events.length === 0 && incompleteSize <= MAX_EVENT_BYTES) {
                 continue;
             }
+            if (events.length === 0) {
+                return this.fail({ ...unusableResponse, message: "an event is too large" });
+            }
+            incompleteSize = splitter.partialLength;
             this.hasResponse = true;
             this.recordEventTimes();
             if (!call.reply.hasBegun) {
