Crash verdicts: nothing is blamed while no other requests are answered, and a wrong quarantine is lifted

The first disturbance ended 40 % of the engines in the first second of the load; the part that all requests share was in more crashes than any other, had not been answered yet, and stayed quarantined.

Cause: a verdict rested on crashes alone where answers were still missing, and it was final.

Change: nothing is blamed unless requests without it were answered within the last second, so what all requests share can't be. When something quarantined is answered after all, by requests that were under way, the quarantine is lifted, and the lift is told on like the quarantine. A part needs two crashes without the request that was in most of them, so that the parts of one crashing request aren't blamed for one unrelated crash. A quarantine lasts 5 min instead of 10; a single crash renews it.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -3,12 +3,14 @@
  * prompts, is blamed only if it was in several crashes, and in more of them than whatever else was there.
  */
 
-/** Crashes after which a request is blamed if nothing else was in all of them. */
-const SOLE_CRASHES = 2;
+/** Crashes from which entry instances are asked about a request or a part. */
+const SUSPECT_CRASHES = 2;
 /** Crashes after which a request is blamed unless a part of prompts was in these and more. */
-const SHARED_CRASHES = 3;
+const REQUEST_CRASHES = 3;
 /** Crashes after which a part of prompts is blamed if no other part was in as many, but in others of them. */
 const PART_CRASHES = 3;
+/** Of these, crashes in which the request that was in most of them was not. */
+const PART_CRASHES_OF_OTHERS = 2;
 /** Crashes after which a part is blamed in any case. */
 const CLEAR_PART_CRASHES = 5;
 
@@ -29,7 +31,7 @@
 /** The requests and parts that were in at least two crashes, those in most crashes first. */
 export const findSuspects = (crashes: readonly CrashEvidence[]): string[] =>
     [...collect(crashes, requestsOf), ...collect(crashes, partsOf)]
-        .filter(suspicion => suspicion.crashes.size >= SOLE_CRASHES)
+        .filter(suspicion => suspicion.crashes.size >= SUSPECT_CRASHES)
         .sort((a, b) => b.crashes.size - a.crashes.size)
         .map(({ key }) => key);
 
@@ -41,7 +43,7 @@
     crashes: readonly CrashEvidence[],
     isHeard: (key: string) => boolean,
 ): readonly string[] | undefined => {
-    const suspicions = collect(crashes, partsOf).filter(item => !isExplainedByOneRequest(item));
+    const suspicions = collect(crashes, partsOf).filter(item => crashesOfOthers(item) >= PART_CRASHES_OF_OTHERS);
     const most = Math.max(0, ...suspicions.map(item => item.crashes.size));
     const top = suspicions.filter(item => item.crashes.size === most);
     const [first] = top.filter(({ key }) => isHeard(key));
@@ -59,17 +61,13 @@
 ): string | undefined => {
     const suspicions = collect(crashes, requestsOf);
     const most = Math.max(0, ...suspicions.map(item => item.crashes.size));
-    if (most < SOLE_CRASHES) {
+    if (most < REQUEST_CRASHES) {
         return undefined;
     }
-    const parts = collect(crashes, partsOf);
-    const isProven = (suspicion: Suspicion): boolean => {
-        if (parts.some(part => part.crashes.size > most && isWithin(suspicion, part))) {
-            return false;
-        }
-        return most >= SHARED_CRASHES || !suspicions.some(other => other !== suspicion && isWithin(suspicion, other));
-    };
-    return suspicions.find(item => item.crashes.size === most && isHeard(item.key) && isProven(item))?.key;
+    const parts = collect(crashes, partsOf).filter(part => part.crashes.size > most);
+    return suspicions.find(item =>
+        item.crashes.size === most && isHeard(item.key) && !parts.some(part => isWithin(item, part))
+    )?.key;
 };
 
 const requestsOf = ({ runs }: CrashEvidence): Iterable<string> => runs.keys();
@@ -95,9 +93,8 @@
 const isWithin = (suspicion: Suspicion, other: Suspicion): boolean =>
     [...suspicion.crashes].every(crash => other.crashes.has(crash));
 
-/** Whether a single request, which comes again and again, was in all of the crashes. */
-const isExplainedByOneRequest = ({ crashes }: Suspicion): boolean => {
-    const [first, ...others] = crashes;
-    return first !== undefined
-        && [...first.runs.keys()].some(request => others.every(crash => crash.runs.has(request)));
+/** Number of the crashes without the request that was in most of them, as a single request may come again and again. */
+const crashesOfOthers = ({ crashes }: Suspicion): number => {
+    const own = collect([...crashes], requestsOf);
+    return crashes.size - Math.max(0, ...own.map(request => request.crashes.size));
 };
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -1,6 +1,6 @@
 /**
  * What one entry instance sees of crashing upstreams: the requests whose connections broke, and the requests that were
- * answered in full. Control instances put the observations of all instances together (`CrashHistory`).
+ * answered. Control instances put the observations of all instances together (`CrashHistory`).
  */
 import { z } from "zod";
 import { type Clock } from "../time/Clock.ts";
@@ -12,7 +12,10 @@
 const MAX_REPORTED_RUNS = 100;
 /** How long an answer is remembered, in ms. */
 const ANSWER_RETENTION_MS = 30_000;
-const MAX_ANSWERS = 5000;
+/** Most keys whose newest answers are remembered. */
+const MAX_KEYS = 5000;
+/** Number of the newest answers of which all keys are remembered. */
+const NEWEST_ANSWERS = 50;
 
 export const brokenRunSchema = z.object({
     /** Id and start of the process of the upstream. */
@@ -32,11 +35,13 @@
 
 export const answerSchema = z.object({
     key: z.string(),
-    /** Time since the end of the newest answer, in ms. */
-    ageMs: z.number(),
+    /** Time since the newest answer to a request with the key, in ms. */
+    ageMs: z.number().optional(),
+    /** Time since the newest answer to a request without the key, in ms. */
+    othersAgeMs: z.number().optional(),
 });
 
-/** The newest answer in full to a request with this key. */
+/** The newest answers, with regard to a suspected key. An answer also counts while it goes on for long. */
 export type Answer = z.infer<typeof answerSchema>;
 
 /** Broken runs that a control instance has not received yet. */
@@ -58,6 +63,8 @@
     private lastNumber = 0;
     /** Monotonic time of the newest answer by key, in ms; the oldest first. */
     private readonly answeredAt = new Map<string, number>();
+    /** The oldest first. */
+    private newestAnswers: { readonly at: number; readonly keys: ReadonlySet<string>; }[] = [];
 
     public constructor(clock: Clock) {
         this.clock = clock;
@@ -69,15 +76,16 @@
         this.runs = this.runs.filter(({ at }) => now - at <= RUN_RETENTION_MS).slice(-MAX_RUNS);
     }
 
-    /** Records that a request with these keys was answered in full. */
-    public recordAnswer(keys: Iterable<string>): void {
+    /** Records an answer to a request with these keys. */
+    public recordAnswer(keys: readonly string[]): void {
         const now = this.clock.monotonic();
+        this.newestAnswers = [...this.newestAnswers.slice(1 - NEWEST_ANSWERS), { at: now, keys: new Set(keys) }];
         for (const key of keys) {
             this.answeredAt.delete(key);
             this.answeredAt.set(key, now);
         }
         for (const [oldest, at] of this.answeredAt) {
-            if (this.answeredAt.size <= MAX_ANSWERS && now - at <= ANSWER_RETENTION_MS) {
+            if (this.answeredAt.size <= MAX_KEYS && now - at <= ANSWER_RETENTION_MS) {
                 break;
             }
             this.answeredAt.delete(oldest);
@@ -101,16 +109,17 @@
         };
     }
 
-    /** The newest answers to requests with these keys. */
-    public answersTo(keys: Iterable<string>): Answer[] {
+    /** The newest answers with regard to these keys. */
+    public answersTo(keys: readonly string[]): Answer[] {
         const now = this.clock.monotonic();
-        const answers: Answer[] = [];
-        for (const key of keys) {
+        return keys.map(key => {
             const at = this.answeredAt.get(key);
-            if (at !== undefined) {
-                answers.push({ key, ageMs: now - at });
-            }
-        }
-        return answers;
+            const other = this.newestAnswers.findLast(answer => !answer.keys.has(key));
+            return {
+                key,
+                ...(at === undefined ? {} : { ageMs: now - at }),
+                ...(other === undefined ? {} : { othersAgeMs: now - other.at }),
+            };
+        });
     }
 }
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -45,7 +45,7 @@
 /** What a follower has seen of crashing upstreams; see `CrashObserver`. */
 export interface CrashObservations {
     runsSince(since: number): BrokenRunReport;
-    answersTo(keys: Iterable<string>): readonly Answer[];
+    answersTo(keys: readonly string[]): readonly Answer[];
 }
 
 /** Dependencies of a follower. */
@@ -233,7 +233,7 @@
             brokenRuns: [...brokenRuns?.runs ?? []],
             answers: [...crashes?.answersTo(peer.suspects) ?? []],
             crashVersion: peer.crashVersion,
-            quarantines: this.quarantines.active,
+            quarantines: this.quarantines.all,
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
         // A control instance that has started again lacks the runs that were reported to its last process.
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -34,8 +34,10 @@
     readonly confirmationAgeMs: () => number;
     /** Ids of the known control instances, including this one. */
     readonly controls: () => readonly string[];
-    /** Called for each request that is quarantined here. */
+    /** Called for each verdict of this instance. */
     readonly onQuarantined?: (verdict: Verdict) => void;
+    /** Called for each quarantine that this instance lifts. */
+    readonly onQuarantineLifted?: (keys: readonly string[]) => void;
 }
 
 interface Follower {
@@ -112,9 +114,10 @@
 
     private evaluateCrashes(): void {
         const { suspects } = this.crashes;
-        const verdicts = this.crashes.evaluate(this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS);
+        const { verdicts, lifted } = this.crashes.evaluate(this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS);
         verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
-        if (verdicts.length > 0 || this.crashes.suspects !== suspects) {
+        lifted.forEach(({ keys }) => this.deps.onQuarantineLifted?.(keys));
+        if (verdicts.length > 0 || lifted.length > 0 || this.crashes.suspects !== suspects) {
             this.announceCrashChange();
         }
     }
@@ -153,7 +156,7 @@
             entryCount: entries.length,
             entriesVersion: this.entriesVersion,
             entries: entriesVersion === this.entriesVersion ? undefined : [...this.entryIds],
-            quarantines: this.crashes.quarantines.active,
+            quarantines: this.crashes.quarantines.all,
             crashVersion: this.crashVersion,
             suspects: crashVersion === this.crashVersion ? undefined : [...this.crashes.suspects],
             heldSessions: [...new Set(entries.flatMap(([, follower]) => follower.heldSessions))],
--- a/src/common/gateway/QuarantineList.ts
+++ b/src/common/gateway/QuarantineList.ts
@@ -7,7 +7,7 @@
 import { type CallKeys, hasKey } from "./CallKeys.ts";
 
 /** How long a quarantine lasts after the last crash, in ms. */
-const QUARANTINE_MS = 600_000;
+const QUARANTINE_MS = 300_000;
 /** Most quarantines that are kept, those that are over included. */
 const MAX_QUARANTINES = 200;
 
@@ -16,6 +16,8 @@
     keys: z.array(z.string()),
     /** Time since the last crash, in ms. */
     ageMs: z.number(),
+    /** Time since the quarantine was lifted because the keys turned out to be sound, in ms. */
+    liftedAgeMs: z.number().optional(),
 });
 
 /** A quarantine, as instances tell it to each other. */
@@ -25,9 +27,11 @@
     readonly keys: readonly string[];
     /** Monotonic time of the last crash, in ms. */
     readonly crashedAt: number;
+    /** Monotonic time at which it was lifted, in ms; -Infinity if it was not. A later crash puts it in force again. */
+    readonly liftedAt: number;
 }
 
-/** Quarantines, and those that are over: a single further crash renews them. */
+/** Quarantines, those that are over, and those that were lifted. */
 export class QuarantineList {
     private readonly clock: Clock;
     private readonly entries = new Map<string, QuarantineEntry>();
@@ -36,41 +40,65 @@
         this.clock = clock;
     }
 
-    /** The quarantines in force. */
-    public get active(): Quarantine[] {
+    /** All entries, to be passed on. */
+    public get all(): Quarantine[] {
         const now = this.clock.monotonic();
-        return [...this.entries.values()]
-            .map(({ keys, crashedAt }) => ({ keys: [...keys], ageMs: now - crashedAt }))
-            .filter(({ ageMs }) => ageMs < QUARANTINE_MS);
+        return [...this.entries.values()].map(({ keys, crashedAt, liftedAt }) => ({
+            keys: [...keys],
+            ageMs: now - crashedAt,
+            ...(liftedAt === -Infinity ? {} : { liftedAgeMs: now - liftedAt }),
+        }));
     }
 
-    /** The keys of all quarantines, those that are over included. */
+    /** The keys of quarantines that were not lifted. One that is over is renewed by a single further crash. */
     public get known(): (readonly string[])[] {
-        return [...this.entries.values()].map(({ keys }) => keys);
+        return [...this.entries.values()].filter(entry => !isLifted(entry)).map(({ keys }) => keys);
     }
 
     /** Whether a quarantine in force covers the request. */
     public covers(call: CallKeys): boolean {
-        const now = this.clock.monotonic();
-        for (const { keys, crashedAt } of this.entries.values()) {
-            if (now - crashedAt < QUARANTINE_MS && keys.every(key => hasKey(call, key))) {
+        for (const entry of this.entries.values()) {
+            if (this.isInForce(entry) && entry.keys.every(key => hasKey(call, key))) {
                 return true;
             }
         }
         return false;
     }
 
-    /** Adds or renews a quarantine; returns whether it was not in force before. */
-    public merge({ keys, ageMs }: Quarantine): boolean {
+    /** Merges what another instance knows, or a verdict; returns whether a quarantine came into force or was lifted. */
+    public merge({ keys, ageMs, liftedAgeMs = Infinity }: Quarantine): boolean {
         const name = [...keys].sort().join(" ");
         const now = this.clock.monotonic();
-        const previousAt = this.entries.get(name)?.crashedAt ?? -Infinity;
-        const crashedAt = Math.max(previousAt, now - ageMs);
-        this.entries.set(name, { keys, crashedAt });
+        const previous = this.entries.get(name) ?? { keys, crashedAt: -Infinity, liftedAt: -Infinity };
+        const merged = {
+            keys,
+            crashedAt: Math.max(previous.crashedAt, now - ageMs),
+            liftedAt: Math.max(previous.liftedAt, now - liftedAgeMs),
+        };
+        const wasInForce = this.isInForce(previous);
+        this.entries.set(name, merged);
         if (this.entries.size > MAX_QUARANTINES) {
             const [oldest] = [...this.entries].sort(([, a], [, b]) => a.crashedAt - b.crashedAt);
             this.entries.delete(oldest?.[0] ?? name);
         }
-        return now - previousAt >= QUARANTINE_MS && now - crashedAt < QUARANTINE_MS;
+        return wasInForce !== this.isInForce(merged);
+    }
+
+    /** Lifts the quarantines of keys that turned out to be sound. `isSound` gets a key and the time of the last crash. */
+    public liftSound(isSound: (key: string, crashedAt: number) => boolean): Quarantine[] {
+        const lifted = [...this.entries.values()].filter(entry =>
+            this.isInForce(entry) && entry.keys.every(key => isSound(key, entry.crashedAt))
+        );
+        return lifted.map(({ keys, crashedAt }) => {
+            const quarantine = { keys: [...keys], ageMs: this.clock.monotonic() - crashedAt, liftedAgeMs: 0 };
+            this.merge(quarantine);
+            return quarantine;
+        });
+    }
+
+    private isInForce(entry: QuarantineEntry): boolean {
+        return !isLifted(entry) && this.clock.monotonic() - entry.crashedAt < QUARANTINE_MS;
     }
 }
+
+const isLifted = ({ crashedAt, liftedAt }: QuarantineEntry): boolean => liftedAt >= crashedAt;
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -35,6 +35,9 @@
 /** Added to the length of each chunk, because many small ones take more memory and time than their bytes. */
 const CHUNK_OVERHEAD_BYTES = 256;
 
+/** A stream that has gone on for this long after its first event has not crashed its upstream by its prompt, in ms. */
+const SOUND_STREAM_MS = 1000;
+
 /** Number of pauses between events from which the pace of a stream is determined; fewer if it ends sooner. */
 const PACE_PAUSES = 9;
 /** Least number of pauses. */
@@ -69,7 +72,7 @@
     readonly withdrawForEscalation: (service: string) => boolean;
     /** Called when the upstream closed the connection while the request ran. */
     readonly onConnectionClosed: (call: Call, selection: Selection) => void;
-    /** Called when the upstream has answered the request in full. */
+    /** Called when the upstream has answered the request in full, or has been answering it for long. */
     readonly onAnswered: (call: Call) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
@@ -123,8 +126,10 @@
     private hasResponse = false;
     /** Pauses between the first events, in ms; undefined once the pace has been reported. */
     private pauses: number[] | undefined = [];
-    /** Monotonic time of the newest event of this attempt, in ms. */
+    /** Monotonic time of the first and the newest event of this attempt, in ms. */
+    private firstEventAt: number | undefined;
     private lastEventAt: number | undefined;
+    private isAnswerReported = false;
 
     public constructor(
         deps: UpstreamAttemptsDependencies,
@@ -329,7 +334,7 @@
             return { message, wasSent: true, mayHaveRun: true, isErrorResponse: true };
         }
         deps.upstreamStats.recordSuccess(stats);
-        deps.onAnswered(call);
+        this.reportAnswer();
         this.hasResponse = true;
         this.reportResponse();
         call.reply.send(head.status, head.headers, body);
@@ -377,7 +382,7 @@
             });
         }
         deps.upstreamStats.recordSuccess(stats);
-        deps.onAnswered(call);
+        this.reportAnswer();
         call.reply.end();
         return undefined;
     }
@@ -396,9 +401,20 @@
             this.pauses?.push(now - this.lastEventAt);
         }
         this.lastEventAt = now;
+        this.firstEventAt ??= now;
+        if (now - this.firstEventAt >= SOUND_STREAM_MS) {
+            this.reportAnswer();
+        }
         this.reportPace(PACE_PAUSES);
     }
 
+    private reportAnswer(): void {
+        if (!this.isAnswerReported) {
+            this.isAnswerReported = true;
+            this.deps.onAnswered(this.call);
+        }
+    }
+
     private reportResponse(): void {
         const { deps, call, selection } = this;
         deps.onResponse(call, selection, deps.clock.monotonic() - this.sentAt);
