Quarantines travel only when they have changed

Now calls carry it when it has changed or the control instance has started again, and replies when the follower lacks the version.

--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -118,9 +118,9 @@
         }
     }
 
-    /** Adds quarantines that another instance knows; returns whether one was not in force here. */
-    public mergeQuarantines(quarantines: readonly Quarantine[]): boolean {
-        return quarantines.filter(item => this.quarantines.merge(item)).length > 0;
+    /** Adds quarantines that another instance knows. */
+    public mergeQuarantines(quarantines: readonly Quarantine[]): void {
+        quarantines.forEach(item => this.quarantines.merge(item));
     }
 
     /**
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -79,6 +79,8 @@
     isReachable: boolean;
     /** Number of the newest broken run that it has received. */
     reportedRun: number;
+    /** Version of the quarantines that it has received; 0 for none. */
+    reportedQuarantines: number;
     crashVersion: number;
     /** Keys of the requests about which it asks. */
     suspects: readonly string[];
@@ -185,6 +187,7 @@
                 answeredAt: undefined,
                 isReachable: false,
                 reportedRun: 0,
+                reportedQuarantines: 0,
                 crashVersion: 0,
                 suspects: [],
                 heldSessions: new Set(),
@@ -221,6 +224,7 @@
         const mayWait = this.confirmationAgeMs < RENEW_CONFIRMATION_AFTER_MS;
         const { outcomes, heldSessions } = report();
         const brokenRuns = crashes?.runsSince(peer.reportedRun);
+        const quarantinesVersion = this.quarantines.version;
         const req = {
             role,
             epoch: peer.epoch,
@@ -233,11 +237,13 @@
             brokenRuns: [...brokenRuns?.runs ?? []],
             answers: [...crashes?.answersTo(peer.suspects) ?? []],
             crashVersion: peer.crashVersion,
-            quarantines: this.quarantines.all,
+            quarantines: peer.reportedQuarantines === quarantinesVersion ? [] : this.quarantines.all,
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
-        // A control instance that has started again lacks the runs that were reported to its last process.
-        peer.reportedRun = reply.epoch === peer.epoch ? brokenRuns?.last ?? 0 : 0;
+        // A control instance that has started again lacks what was reported to its last process.
+        const isSameProcess = reply.epoch === peer.epoch;
+        peer.reportedRun = isSameProcess ? brokenRuns?.last ?? 0 : 0;
+        peer.reportedQuarantines = isSameProcess ? quarantinesVersion : 0;
         this.applyReply(peer, reply);
         if (reply.revision > this.current.revision) {
             await this.fetch(id, reply.revision);
@@ -262,7 +268,7 @@
         }
         peer.crashVersion = reply.crashVersion;
         peer.suspects = reply.suspects ?? peer.suspects;
-        reply.quarantines.forEach(item => this.quarantines.merge(item));
+        reply.quarantines?.forEach(item => this.quarantines.merge(item));
         peer.heldSessions = new Set(reply.heldSessions);
         reply.records.forEach(({ record, ageMs }) => this.deps.directory.merge(record, ageMs, true));
         reply.renewals.forEach(([id, start, seq, ageMs]) => this.deps.directory.mergeHeartbeat(id, start, seq, ageMs));
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -54,8 +54,10 @@
     private readonly followers = new Map<string, Follower>();
     private readonly crashes: CrashHistory;
     private urgentVersion = 0;
-    /** Increases when there are other suspects or further quarantines. */
+    /** Increases when there are other suspects or quarantines. */
     private crashVersion = 0;
+    private announcedSuspects: readonly string[] = [];
+    private announcedQuarantines = 0;
     /** Ids of the entry instances in service, in the order of their first calls. */
     private entryIds: readonly string[] = [];
     private entriesVersion = 0;
@@ -107,24 +109,26 @@
         this.followers.set(from, { role, lastCallAt: now, outcomes, heldSessions });
         this.crashes.recordRuns(brokenRuns);
         this.crashes.recordAnswers(answers);
-        if (this.crashes.mergeQuarantines(quarantines)) {
-            this.announceCrashChange();
-        }
+        this.crashes.mergeQuarantines(quarantines);
+        this.announceCrashChange();
     }
 
     private evaluateCrashes(): void {
-        const { suspects } = this.crashes;
         const { verdicts, lifted } = this.crashes.evaluate(this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS);
         verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
         lifted.forEach(({ keys }) => this.deps.onQuarantineLifted?.(keys));
-        if (verdicts.length > 0 || lifted.length > 0 || this.crashes.suspects !== suspects) {
-            this.announceCrashChange();
-        }
+        this.announceCrashChange();
     }
 
+    /** Wakes the held calls if there are other suspects or quarantines than before. */
     private announceCrashChange(): void {
-        this.crashVersion++;
-        this.changeSignal.fire();
+        const { suspects, quarantines: { version } } = this.crashes;
+        if (suspects !== this.announcedSuspects || version !== this.announcedQuarantines) {
+            this.announcedSuspects = suspects;
+            this.announcedQuarantines = version;
+            this.crashVersion++;
+            this.changeSignal.fire();
+        }
     }
 
     private hasUrgentChange({ revision, since, crashVersion }: PeerRequest<"watchFleet">): boolean {
@@ -156,9 +160,11 @@
             entryCount: entries.length,
             entriesVersion: this.entriesVersion,
             entries: entriesVersion === this.entriesVersion ? undefined : [...this.entryIds],
-            quarantines: this.crashes.quarantines.all,
             crashVersion: this.crashVersion,
-            suspects: crashVersion === this.crashVersion ? undefined : [...this.crashes.suspects],
+            ...(crashVersion === this.crashVersion ? {} : {
+                suspects: [...this.crashes.suspects],
+                quarantines: this.crashes.quarantines.all,
+            }),
             heldSessions: [...new Set(entries.flatMap(([, follower]) => follower.heldSessions))],
         };
     }
--- a/src/common/gateway/QuarantineList.ts
+++ b/src/common/gateway/QuarantineList.ts
@@ -8,6 +8,8 @@
 
 /** How long a quarantine lasts after the last crash, in ms. */
 const QUARANTINE_MS = 300_000;
+/** Renewals by less than this, in ms, are not passed on. */
+const RENEWAL_STEP_MS = 10_000;
 /** Most quarantines that are kept, those that are over included. */
 const MAX_QUARANTINES = 200;
 
@@ -35,11 +37,17 @@
 export class QuarantineList {
     private readonly clock: Clock;
     private readonly entries = new Map<string, QuarantineEntry>();
+    private changes = 0;
 
     public constructor(clock: Clock) {
         this.clock = clock;
     }
 
+    /** Number of changes that others should know of. */
+    public get version(): number {
+        return this.changes;
+    }
+
     /** All entries, to be passed on. */
     public get all(): Quarantine[] {
         const now = this.clock.monotonic();
@@ -65,8 +73,8 @@
         return false;
     }
 
-    /** Merges what another instance knows, or a verdict; returns whether a quarantine came into force or was lifted. */
-    public merge({ keys, ageMs, liftedAgeMs = Infinity }: Quarantine): boolean {
+    /** Merges what another instance knows, or a verdict. */
+    public merge({ keys, ageMs, liftedAgeMs = Infinity }: Quarantine): void {
         const name = [...keys].sort().join(" ");
         const now = this.clock.monotonic();
         const previous = this.entries.get(name) ?? { keys, crashedAt: -Infinity, liftedAt: -Infinity };
@@ -75,13 +83,15 @@
             crashedAt: Math.max(previous.crashedAt, now - ageMs),
             liftedAt: Math.max(previous.liftedAt, now - liftedAgeMs),
         };
-        const wasInForce = this.isInForce(previous);
         this.entries.set(name, merged);
         if (this.entries.size > MAX_QUARANTINES) {
             const [oldest] = [...this.entries].sort(([, a], [, b]) => a.crashedAt - b.crashedAt);
             this.entries.delete(oldest?.[0] ?? name);
         }
-        return wasInForce !== this.isInForce(merged);
+        const isRenewed = merged.crashedAt - previous.crashedAt > RENEWAL_STEP_MS;
+        if (isRenewed || isLifted(merged) !== isLifted(previous)) {
+            this.changes++;
+        }
     }
 
     /** Lifts the quarantines of keys that turned out to be sound. `isSound` gets a key and the time of the last crash. */
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -125,7 +125,7 @@
             answers: z.array(answerSchema).default([]),
             /** Version of the suspects and quarantines that the sender has received from the receiver; 0 for none. */
             crashVersion: z.number().default(0),
-            /** Quarantines that the sender knows, so that a receiver that has started again gets them back. */
+            /** Quarantines that the sender knows, when they have changed or the receiver has started again. */
             quarantines: z.array(quarantineSchema).default([]),
             /** Sessions that the sender keeps on their version although a roll-out has selected them. */
             heldSessions: z.array(z.string()),
@@ -150,12 +150,12 @@
             entriesVersion: z.number().default(0),
             /** Their ids; undefined if the sender has this version. */
             entries: z.array(z.string()).optional(),
-            /** Requests that no upstream may run any more. */
-            quarantines: z.array(quarantineSchema).default([]),
-            /** Version of the suspects and quarantines. */
+            /** Version of the suspects and quarantines, which are undefined if the sender has this version. */
             crashVersion: z.number().default(0),
-            /** Requests of which the receiver asks whether they have been answered; undefined if the sender has this version. */
+            /** Keys of requests of which the receiver asks whether they have been answered. */
             suspects: z.array(z.string()).optional(),
+            /** Requests that no upstream may run any more. */
+            quarantines: z.array(quarantineSchema).optional(),
             /** Sessions that some entry instance keeps on their version. */
             heldSessions: z.array(z.string()),
         }),
