Crash verdicts: requests and rare parts are also blamed while a whole service is down

Since nothing was blamed without answers to others, a request that ends all engines of a small service within a second would have gone on until they were back and answered. The condition is there for what many requests share. It now holds only for parts of prompts that more than a quarter of the newest requests have: entry instances count them, with the other answers about a suspect. A request, or a rare part, can be in three crashes without being answered for 10 s only if it is the cause, or by rare chance; a wrong quarantine is lifted when it is answered.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -43,10 +43,12 @@
     crashes: readonly CrashEvidence[],
     isHeard: (key: string) => boolean,
 ): readonly string[] | undefined => {
-    const suspicions = collect(crashes, partsOf).filter(item => crashesOfOthers(item) >= PART_CRASHES_OF_OTHERS);
+    const suspicions = collect(crashes, partsOf).filter(item =>
+        crashesOfOthers(item) >= PART_CRASHES_OF_OTHERS && isHeard(item.key)
+    );
     const most = Math.max(0, ...suspicions.map(item => item.crashes.size));
     const top = suspicions.filter(item => item.crashes.size === most);
-    const [first] = top.filter(({ key }) => isHeard(key));
+    const [first] = top;
     if (first === undefined || most < PART_CRASHES) {
         return undefined;
     }
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -32,7 +32,7 @@
 
     /** An entry instance reports that a request with this key has just been answered. */
     public answer(key: string): void {
-        this.history.recordAnswers([{ key, ageMs: 0 }]);
+        this.history.recordAnswers("e", [{ key, ageMs: 0, requests: 1, allRequests: 10 }]);
     }
 
     public covers(request: string, ...parts: string[]): boolean {
@@ -61,7 +61,10 @@
     public evaluate(ms = HEARD_MS): string[] {
         const before = this.history.evaluate(true).verdicts;
         this.clock.advance(ms);
-        this.history.recordAnswers(this.history.suspects.map(key => ({ key, othersAgeMs: 0 })));
+        this.history.recordAnswers(
+            "e",
+            this.history.suspects.map(key => ({ key, othersAgeMs: 0, requests: 5, allRequests: 10 })),
+        );
         const { verdicts } = this.history.evaluate(true);
         return [...before, ...verdicts].map(({ keys }) => keys.join(" "));
     }
@@ -99,7 +102,7 @@
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound"));
     control.history.evaluate(true);
     assert.deepEqual(control.history.suspects, ["sound"]);
-    control.history.recordAnswers(observer.answersTo(control.history.suspects));
+    control.history.recordAnswers("e", observer.answersTo(control.history.suspects));
     assert.deepEqual(control.evaluate(), []);
 });
 
@@ -191,13 +194,24 @@
     assert.equal(control.covers("r4", "bad"), true);
 });
 
-test("CrashHistory: nothing is blamed while no other requests are answered", () => {
+test("CrashHistory: a part that many requests have is blamed only while requests without it are answered", () => {
     const control = new History();
-    ["u1", "u2", "u3"].forEach((upstream, index) => control.crash(upstream, `r${index}: system`));
+    ["u1", "u2", "u3"].forEach((upstream, index) => control.crash(upstream, `r${index}: system rare`));
     control.history.evaluate(true);
     control.clock.advance(HEARD_MS);
-    assert.deepEqual(control.history.evaluate(true).verdicts, []);
-    assert.deepEqual(control.evaluate(), ["part:system"]);
+    const counts = { requests: 6, allRequests: 10 };
+    control.history.recordAnswers("e1", [{ key: "part:system", ...counts }, {
+        key: "part:rare",
+        ...counts,
+        requests: 2,
+    }]);
+    assert.deepEqual(control.history.evaluate(true).verdicts.map(({ keys }) => keys), [["part:rare"]]);
+    const alone = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => alone.crash(upstream, `r${index}: system`));
+    alone.history.evaluate(true);
+    alone.clock.advance(HEARD_MS);
+    assert.deepEqual(alone.history.evaluate(true).verdicts, []);
+    assert.deepEqual(alone.evaluate(), ["part:system"]);
 });
 
 test("CrashHistory: a quarantine is lifted, here and elsewhere, when such requests are answered after all", () => {
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -13,7 +13,9 @@
 
 /** Time in which entry instances can report answers before a suspect is blamed, in ms. */
 const HEARING_MS = 1500;
-/** Nothing is blamed unless other requests are answered: the newest such answer is at most this old, in ms. */
+/** A part that at most this share of all requests have is rare. */
+const RARE_SHARE = 0.25;
+/** Other parts are blamed only while requests without them are answered: the newest answer is at most this old, in ms. */
 const MAX_OTHERS_AGE_MS = 1000;
 /** A crash is not blamed on what was answered later, or less than this long before, in ms. */
 const ANSWER_VALIDITY_MS = 10_000;
@@ -71,6 +73,8 @@
     private readonly othersAnsweredAt = new Map<string, number>();
     /** Monotonic time since which entry instances have been asked about each suspect, in ms. */
     private readonly askedSince = new Map<string, number>();
+    /** Requests with each suspect, and all requests, by entry instance. */
+    private readonly requestCounts = new Map<string, Map<string, Pick<Answer, "requests" | "allRequests">>>();
     private suspectKeys: readonly string[] = [];
     private lastRunAt = -Infinity;
 
@@ -103,15 +107,18 @@
         this.evictOld(now);
     }
 
-    public recordAnswers(answers: readonly Answer[]): void {
+    /** Records the answers of an entry instance with regard to the suspects. */
+    public recordAnswers(from: string, answers: readonly Answer[]): void {
         const now = this.clock.monotonic();
         const raise = (times: Map<string, number>, key: string, ageMs: number | undefined): void => {
             if (ageMs !== undefined) {
                 times.set(key, Math.max(now - ageMs, times.get(key) ?? -Infinity));
             }
         };
-        for (const { key, ageMs, othersAgeMs } of answers) {
-            if (this.askedSince.has(key)) {
+        for (const { key, ageMs, othersAgeMs, requests, allRequests } of answers) {
+            const counts = this.requestCounts.get(key);
+            if (counts !== undefined) {
+                counts.set(from, { requests, allRequests });
                 raise(this.answeredAt, key, ageMs);
                 raise(this.othersAnsweredAt, key, othersAgeMs);
             }
@@ -165,10 +172,24 @@
 
     private readonly isHeard = (key: string): boolean => {
         const now = this.clock.monotonic();
-        return now - (this.askedSince.get(key) ?? Infinity) >= HEARING_MS
-            && now - (this.othersAnsweredAt.get(key) ?? -Infinity) <= MAX_OTHERS_AGE_MS;
+        if (now - (this.askedSince.get(key) ?? Infinity) < HEARING_MS) {
+            return false;
+        }
+        return !isPartKey(key) || this.isRare(key)
+            || now - (this.othersAnsweredAt.get(key) ?? -Infinity) <= MAX_OTHERS_AGE_MS;
     };
 
+    /** Whether few requests have the part. What most requests have is in most crashes, whatever their cause. */
+    private isRare(part: string): boolean {
+        let requests = 0;
+        let allRequests = 0;
+        for (const counts of this.requestCounts.get(part)?.values() ?? []) {
+            requests += counts.requests;
+            allRequests += counts.allRequests;
+        }
+        return allRequests > 0 && requests <= allRequests * RARE_SHARE;
+    }
+
     private isAnsweredNear(key: string, crashedAt: number): boolean {
         return (this.answeredAt.get(key) ?? -Infinity) + ANSWER_VALIDITY_MS > crashedAt;
     }
@@ -212,9 +233,13 @@
         for (const key of this.askedSince.keys()) {
             if (!suspects.includes(key)) {
                 this.askedSince.delete(key);
+                this.requestCounts.delete(key);
             }
         }
-        suspects.filter(key => !this.askedSince.has(key)).forEach(key => this.askedSince.set(key, now));
+        for (const key of suspects.filter(item => !this.askedSince.has(item))) {
+            this.askedSince.set(key, now);
+            this.requestCounts.set(key, new Map());
+        }
         if (suspects.length !== this.suspectKeys.length || suspects.some(key => !this.suspectKeys.includes(key))) {
             this.suspectKeys = suspects;
         }
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -14,8 +14,9 @@
 const ANSWER_RETENTION_MS = 30_000;
 /** Most keys whose newest answers are remembered. */
 const MAX_KEYS = 5000;
-/** Number of the newest answers of which all keys are remembered. */
+/** Number of the newest answers, and of the newest requests, of which all keys are remembered. */
 const NEWEST_ANSWERS = 50;
+const NEWEST_REQUESTS = 200;
 
 export const brokenRunSchema = z.object({
     /** Id and start of the process of the upstream. */
@@ -39,6 +40,9 @@
     ageMs: z.number().optional(),
     /** Time since the newest answer to a request without the key, in ms. */
     othersAgeMs: z.number().optional(),
+    /** Of the newest requests, how many have the key, and how many there are. */
+    requests: z.number().default(0),
+    allRequests: z.number().default(0),
 });
 
 /** The newest answers, with regard to a suspected key. An answer also counts while it goes on for long. */
@@ -65,6 +69,8 @@
     private readonly answeredAt = new Map<string, number>();
     /** The oldest first. */
     private newestAnswers: { readonly at: number; readonly keys: ReadonlySet<string>; }[] = [];
+    /** Keys of the parts of the newest requests, the oldest first. */
+    private newestRequests: ReadonlySet<string>[] = [];
 
     public constructor(clock: Clock) {
         this.clock = clock;
@@ -76,6 +82,13 @@
         this.runs = this.runs.filter(({ at }) => now - at <= RUN_RETENTION_MS).slice(-MAX_RUNS);
     }
 
+    /** Records a request that has been admitted, with the keys of its parts. */
+    public recordRequest(parts: ReadonlySet<string>): void {
+        if (this.newestRequests.push(parts) >= 2 * NEWEST_REQUESTS) {
+            this.newestRequests = this.newestRequests.slice(-NEWEST_REQUESTS);
+        }
+    }
+
     /** Records an answer to a request with these keys. */
     public recordAnswer(keys: readonly string[]): void {
         const now = this.clock.monotonic();
@@ -112,6 +125,7 @@
     /** The newest answers with regard to these keys. */
     public answersTo(keys: readonly string[]): Answer[] {
         const now = this.clock.monotonic();
+        const requests = this.newestRequests.slice(-NEWEST_REQUESTS);
         return keys.map(key => {
             const at = this.answeredAt.get(key);
             const other = this.newestAnswers.findLast(answer => !answer.keys.has(key));
@@ -119,6 +133,8 @@
                 key,
                 ...(at === undefined ? {} : { ageMs: now - at }),
                 ...(other === undefined ? {} : { othersAgeMs: now - other.at }),
+                requests: requests.filter(parts => parts.has(key)).length,
+                allRequests: requests.length,
             };
         });
     }
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -108,7 +108,7 @@
         const { role, outcomes, heldSessions, brokenRuns, answers, quarantines } = req;
         this.followers.set(from, { role, lastCallAt: now, outcomes, heldSessions });
         this.crashes.recordRuns(brokenRuns);
-        this.crashes.recordAnswers(answers);
+        this.crashes.recordAnswers(from, answers);
         this.crashes.mergeQuarantines(quarantines);
         this.announceCrashChange();
     }
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -33,8 +33,8 @@
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
     readonly isQuarantined: (keys: CallKeys) => boolean;
-    /** Called when a request for the service has been admitted. */
-    readonly onAdmitted: (service: string) => void;
+    /** Called when a request has been admitted. */
+    readonly onAdmitted: (call: Call) => void;
 }
 
 interface Admission {
@@ -159,7 +159,7 @@
             call.reply.sendError(503, codec.refusalHeaders(call.req, undefined), QUARANTINED);
             return { outcome: "refused", status: 503, reason: QUARANTINED };
         }
-        onAdmitted(call.service.name);
+        onAdmitted(call);
         return router.route(call, state);
     }
 
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -144,7 +144,12 @@
             routeTable: () => this.routeTable,
             hasLease: () => this.hasLease,
             isQuarantined,
-            onAdmitted: service => budget.deposit(service),
+            onAdmitted: ({ service, keys }) => {
+                budget.deposit(service.name);
+                if (keys.parts.size > 0) {
+                    this.crashObserver.recordRequest(keys.parts);
+                }
+            },
         });
         this.callerServer = this.createCallerServer();
         this.subscribe();
