Crash verdicts: a request is blamed although a part of its prompt was in an unrelated crash too

Found by reading: a part that was in all crashes of a request, and in one more, kept the request from being blamed however often it crashed upstreams, as each of its crashes was one of the part as well; the part itself needs two crashes of others. Now only a part that was in two crashes more, and may be blamed itself, takes the place of the request. The new test failed before. Up to 200 requests of one crash are kept instead of 100, so that those that wait at an engine can't crowd out the cause.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -5,7 +5,7 @@
 
 /** Crashes from which entry instances are asked about a request or a part. */
 const SUSPECT_CRASHES = 2;
-/** Crashes after which a request is blamed unless a part of prompts was in these and more. */
+/** Crashes after which a request is blamed, unless a part of its prompt was in these and in several more. */
 const REQUEST_CRASHES = 3;
 /** Crashes after which a part of prompts is blamed if no other part was in as many, but in others of them. */
 const PART_CRASHES = 3;
@@ -66,7 +66,9 @@
     if (most < REQUEST_CRASHES) {
         return undefined;
     }
-    const parts = collect(crashes, partsOf).filter(part => part.crashes.size > most);
+    const parts = collect(crashes, partsOf).filter(({ key, crashes: own }) =>
+        own.size >= most + PART_CRASHES_OF_OTHERS && isHeard(key)
+    );
     return suspicions.find(item =>
         item.crashes.size === most && isHeard(item.key) && !parts.some(part => isWithin(item, part))
     )?.key;
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -172,6 +172,13 @@
     assert.deepEqual(control.evaluate(), []);
 });
 
+test("CrashHistory: a request is blamed although a part of its prompt was in an unrelated crash too", () => {
+    const control = new History();
+    control.crash("u0", "x: rare");
+    ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "bad: rare"));
+    assert.deepEqual(control.evaluate(), ["bad"]);
+});
+
 test("CrashHistory: parts that were answered, or were in fewer crashes, aren't blamed", () => {
     const control = new History();
     control.crash("u1", "r1: system subject bad", "x: system other");
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -29,7 +29,7 @@
 const RETENTION_MS = 600_000;
 const MAX_CRASHES = 300;
 /** Most requests that are kept of one crash. */
-const MAX_RUNS = 100;
+const MAX_RUNS = 200;
 /** Most suspects that entry instances are asked about. */
 const MAX_SUSPECTS = 100;
 /** Most verdicts of one evaluation; the others follow in the next ones. */
