Crash verdicts: of requests that were in the same crashes, none takes the blame of the others

The trace: a sound request was retried beside it and was in just its four crashes; the first of the two was blamed, which explained the crashes, and the other had to end three more engines. Now all that were in just the same crashes are blamed; the sound ones among them are released when they are answered, as before.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -56,22 +56,27 @@
     return same.length === top.length || most >= CLEAR_PART_CRASHES ? same.map(({ key }) => key) : undefined;
 };
 
-/** The request that is to blame. Undefined if the evidence doesn't suffice, or if `isHeard` is false for the request. */
-export const blameRequest = (
+/**
+ * The requests that are to blame: one, or several that were in just the same crashes, as any of them may be the cause. None if
+ * the evidence doesn't suffice, or if `isHeard` is false for them.
+ */
+export const blameRequests = (
     crashes: readonly CrashEvidence[],
     isHeard: (key: string) => boolean,
-): string | undefined => {
+): readonly string[] => {
     const suspicions = collect(crashes, requestsOf);
     const most = Math.max(0, ...suspicions.map(item => item.crashes.size));
     if (most < REQUEST_CRASHES) {
-        return undefined;
+        return [];
     }
     const parts = collect(crashes, partsOf).filter(({ key, crashes: own }) =>
         own.size >= most + PART_CRASHES_OF_OTHERS && isHeard(key)
     );
-    return suspicions.find(item =>
+    const top = suspicions.filter(item =>
         item.crashes.size === most && isHeard(item.key) && !parts.some(part => isWithin(item, part))
-    )?.key;
+    );
+    const [first] = top;
+    return first === undefined ? [] : top.filter(item => isWithin(item, first)).map(({ key }) => key);
 };
 
 const requestsOf = ({ runs }: CrashEvidence): Iterable<string> => runs.keys();
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -89,6 +89,15 @@
     assert.deepEqual(control.evaluate(), []);
 });
 
+test("CrashHistory: a request that was in the same crashes as the cause doesn't take its blame", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound", "bad"));
+    assert.deepEqual(control.evaluate(), ["sound", "bad"]);
+    control.answer("sound");
+    control.history.evaluate(true);
+    assert.deepEqual([control.covers("sound"), control.covers("bad")], [false, true]);
+});
+
 test("CrashHistory: one crash counts once, however many instances report it", () => {
     const control = new History();
     ["u1", "u1", "u1"].forEach(upstream => control.crash(upstream, "sound"));
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -6,7 +6,7 @@
  */
 import { type Clock } from "../time/Clock.ts";
 import { isPartKey } from "./CallKeys.ts";
-import { blameParts, blameRequest, type CrashEvidence, findSuspects } from "./CrashBlame.ts";
+import { blameParts, blameRequests, type CrashEvidence, findSuspects } from "./CrashBlame.ts";
 import { type Answer, type BrokenRun } from "./CrashObserver.ts";
 import { type Quarantine, QuarantineList } from "./QuarantineList.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
@@ -144,19 +144,21 @@
         const evidence = this.collectEvidence();
         this.updateSuspects(findSuspects(evidence).slice(0, MAX_SUSPECTS));
         while (mayBlame && verdicts.length < MAX_VERDICTS) {
-            const keys = this.blame(evidence);
-            if (keys === undefined) {
+            const culprits = this.blame(evidence);
+            if (culprits.length === 0) {
                 break;
             }
-            const upstreams = evidence.filter(crash => isCausedBy(crash, keys)).map(({ upstream }) => upstream);
-            verdicts.push({ keys, upstreams });
-            this.quarantines.merge({ keys: [...keys], ageMs: 0 });
+            for (const keys of culprits) {
+                const upstreams = evidence.filter(crash => isCausedBy(crash, keys)).map(({ upstream }) => upstream);
+                verdicts.push({ keys, upstreams });
+                this.quarantines.merge({ keys: [...keys], ageMs: 0 });
+            }
         }
         return { verdicts, lifted };
     }
 
-    /** The keys of what is to blame for crashes that no quarantine explains. */
-    private blame(evidence: readonly CrashEvidence[]): readonly string[] | undefined {
+    /** What is to blame for crashes that no quarantine explains: the keys of one quarantine each. */
+    private blame(evidence: readonly CrashEvidence[]): readonly (readonly string[])[] {
         const { known } = this.quarantines;
         const isNew = (keys: readonly string[]): boolean =>
             !known.some(other => other.length === keys.length && other.every(key => keys.includes(key)));
@@ -164,10 +166,9 @@
         const knownParts = known.filter(([key = "", ...others]) => others.length === 0 && isPartKey(key));
         const parts = blameParts(withoutCauses(evidence, knownParts), this.isHeard);
         if (parts !== undefined && isNew(parts)) {
-            return parts;
+            return [parts];
         }
-        const request = blameRequest(withoutCauses(evidence, known), this.isHeard);
-        return request === undefined ? undefined : [request];
+        return blameRequests(withoutCauses(evidence, known), this.isHeard).map(request => [request]);
     }
 
     private readonly isHeard = (key: string): boolean => {
