--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -358,11 +358,11 @@
             stats.lastByteAt = deps.clock.monotonic();
             const events = splitter.push(chunk);
             incompleteSize += chunk.length + CHUNK_OVERHEAD_BYTES;
-            if (events.length === 0 && incompleteSize <= MAX_EVENT_BYTES) {
-                continue;
-            }
             if (events.length === 0) {
-                return this.fail({ ...unusableResponse, message: "an event is too large" });
+                if (incompleteSize > MAX_EVENT_BYTES) {
+                    return this.fail({ ...unusableResponse, message: "an event is too large" });
+                }
+                continue;
             }
             incompleteSize = splitter.partialLength;
             this.hasResponse = true;
