--- a/src/common/gateway/StallDetection.ts
+++ b/src/common/gateway/StallDetection.ts
@@ -1,7 +1,13 @@
 /**
  * Decides when a resumable stream has stalled and should be resumed at another upstream. An upstream that sends nothing
  * on any connection is probably gone. One that still sends on other connections may only be busy, but it may also have
- * lost this stream, so the stream has stalled after a longer time.
+ * lost this stream, so the stream has stalled after a longer time. Only a further event is progress: comments, and bytes
+ * that complete no event, are not.
+ *
+ * A stream ends before its last event for these reasons only, all measured by the monotonic clock: it has stalled (here);
+ * the deadline of its request has passed, the caller has left, or its upstream has restarted or is silent on all
+ * connections and sends no heartbeats (`Attempt`); an instance that stops has used up its grace period
+ * (`GatewayEntryRole.stop`).
  */
 import { type Route } from "./GatewayConfig.ts";
 
@@ -21,9 +27,9 @@
 /** State of a stream that waits for its next event. */
 export interface StreamActivity {
     readonly route: Pick<Route, "gapMs" | "objectiveMs" | "isResumable">;
-    /** Whether the upstream has sent any byte of this stream. */
+    /** Whether the upstream has sent the head of this stream. */
     readonly hasBegun: boolean;
-    /** Time since the last byte of this stream, or since the request was sent, in ms. */
+    /** Time since the last progress of this stream, or since the request was sent, in ms. */
     readonly idleMs: number;
     /** Time since the upstream sent a byte on any connection, in ms. */
     readonly upstreamIdleMs: number;
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -94,6 +94,8 @@
     private pauses: number[] | undefined = [];
     /** Monotonic time of the first and the newest event of this attempt, in ms. */
     private firstEventAt: number | undefined;
+    /** Monotonic time of the newest progress: the request was sent, its head came, or a further event, in ms. */
+    private progressAt: number;
     private lastEventAt: number | undefined;
     private isAnswerReported = false;
 
@@ -112,6 +114,7 @@
         this.exchange = exchange;
         this.onEnded = onEnded;
         this.sentAt = deps.clock.monotonic();
+        this.progressAt = this.sentAt;
         this.promptTokens = call.req.prompt?.tokens ?? 0;
     }
 
@@ -150,7 +153,7 @@
             return;
         }
         const isRetryable = call.route.kind === "idempotent" || call.route.isResumable;
-        const idleMs = now - Math.max(this.sentAt, this.exchange.lastByteAt);
+        const idleMs = now - this.progressAt;
         const hasBegun = this.exchange.lastByteAt > -Infinity;
         const hasAttemptsLeft = this.state.possibleRuns + 1 < call.route.maxAttempts;
         const upstreamIdleMs = now - stats.lastByteAt;
@@ -190,6 +193,7 @@
     private async relayResponse(): Promise<AttemptFailure | undefined> {
         const { deps, selection: { stats } } = this;
         const raw = await this.exchange.readHead();
+        this.progressAt = deps.clock.monotonic();
         this.releasePromptTokens();
         if (isFailure(raw)) {
             return this.fail(raw);
@@ -294,6 +298,7 @@
             if (chunk === undefined) {
                 break;
             }
+            this.progressAt = deps.clock.monotonic();
             chunks.push(chunk);
             size += chunk.length + CHUNK_OVERHEAD_BYTES;
             if (size > MAX_RESPONSE_BYTES) {
@@ -330,6 +335,7 @@
                 break;
             }
             stats.lastByteAt = deps.clock.monotonic();
+            const idBefore = splitter.lastEventId;
             const events = splitter.push(chunk);
             incompleteSize += chunk.length + CHUNK_OVERHEAD_BYTES;
             if (events.length === 0) {
@@ -340,6 +346,9 @@
             }
             incompleteSize = splitter.partialLength;
             this.hasResponse = true;
+            if (splitter.lastEventId !== idBefore || idBefore === undefined) {
+                this.progressAt = deps.clock.monotonic();
+            }
             this.recordEventTimes();
             if (!call.reply.hasBegun) {
                 state.splitter = splitter;
