--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -204,7 +204,8 @@
             deps.upstreamStats.recordLoad(stats, head.load);
         }
         this.reportStatement(head);
-        if (head.isNotRun) {
+        // A refusal of another request may come late, on a connection in use again.
+        if (head.isNotRun && (head.requestId ?? this.call.req.id) === this.call.req.id) {
             return this.handleNotRun(head);
         }
         if (head.requestId !== this.call.req.id || !head.hasStamp || head.isEncoded) {
