--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -9,6 +9,7 @@
 import { emptyFleet } from "./FleetState.ts";
 import { type Service } from "./GatewayConfig.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { UpstreamPauses } from "./UpstreamPauses.ts";
 import { type UpstreamRecord } from "./UpstreamRecord.ts";
 import { UpstreamSelector } from "./UpstreamSelector.ts";
 import { UpstreamStatistics } from "./UpstreamStatistics.ts";
@@ -118,6 +119,8 @@
             hasQuorumContact: () => true,
             coldTolerance: TOLERANCE,
             isLimitUsedUp: () => false,
+            isLeaving: () => false,
+            pauses: new UpstreamPauses(clock, id),
             onColdSend: () => this.sentAt.push(clock.monotonic()),
         });
         this.entries.set(id, { network, follower, selector });
--- a/src/common/gateway/ExchangeCodec.ts
+++ b/src/common/gateway/ExchangeCodec.ts
@@ -78,6 +78,12 @@
     readonly requestLimit: number | undefined;
     /** Refusals for want of room in one second above which the upstream falls over; undefined if it names none. */
     readonly bearableRefusals: number | undefined;
+    /** Whether the upstream states that it is leaving. */
+    readonly isLeaving: boolean;
+    /** Time for which the upstream, which refuses the request, wants no others from this instance, in ms. */
+    readonly pauseMs: number | undefined;
+    /** Whether the response names such a time that can't be read. */
+    readonly hasInvalidPause: boolean;
     /** Confidence of the model in its answer, 0 to 100. */
     readonly confidence: number | undefined;
 }
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -14,8 +14,8 @@
 import { emptyFleet, type Fleet } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
 import { QuarantineList } from "./QuarantineList.ts";
-import { type RequestLimits } from "./RequestLimits.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { type UpstreamStatements } from "./UpstreamStatements.ts";
 
 /** Timeout of a long poll, in ms. A control instance holds a call for less than half of that time. */
 const WATCH_TIMEOUT_MS = 2100;
@@ -59,8 +59,8 @@
     readonly seeds: readonly string[];
     readonly report: () => FollowerReport;
     readonly crashes?: CrashObservations;
-    /** Statements of upstreams about their limits, which control instances pass on. */
-    readonly requestLimits?: RequestLimits;
+    /** Statements of upstreams, which control instances pass on. */
+    readonly statements?: UpstreamStatements;
 }
 
 /** A control instance became reachable or unreachable. */
@@ -85,9 +85,9 @@
     /** Version of the quarantines that it has received; 0 for none. */
     reportedQuarantines: number;
     crashVersion: number;
-    /** Version of the request limits that it has received, and of those received from it; 0 for none. */
-    reportedLimits: number;
-    receivedLimits: number;
+    /** Version of the statements of upstreams that it has received, and of those received from it; 0 for none. */
+    reportedStatements: number;
+    receivedStatements: number;
     /** Keys of the requests about which it asks. */
     suspects: readonly string[];
     /** Sessions that some entry instance keeps on their version. */
@@ -195,8 +195,8 @@
                 reportedRun: 0,
                 reportedQuarantines: 0,
                 crashVersion: 0,
-                reportedLimits: 0,
-                receivedLimits: 0,
+                reportedStatements: 0,
+                receivedStatements: 0,
                 suspects: [],
                 heldSessions: new Set(),
                 entriesVersion: 0,
@@ -227,13 +227,13 @@
     }
 
     private async watchOnce(id: string, peer: WatchedControl): Promise<void> {
-        const { clock, network, role, report, crashes, requestLimits } = this.deps;
+        const { clock, network, role, report, crashes, statements } = this.deps;
         const sentAt = clock.monotonic();
         const mayWait = this.confirmationAgeMs < RENEW_CONFIRMATION_AFTER_MS;
         const { outcomes, heldSessions } = report();
         const brokenRuns = crashes?.runsSince(peer.reportedRun);
         const quarantinesVersion = this.quarantines.version;
-        const limitsVersion = requestLimits?.version ?? 0;
+        const statementsVersion = statements?.version ?? 0;
         const req = {
             role,
             epoch: peer.epoch,
@@ -247,15 +247,15 @@
             answers: [...crashes?.answersTo(peer.suspects) ?? []],
             crashVersion: peer.crashVersion,
             quarantines: peer.reportedQuarantines === quarantinesVersion ? [] : this.quarantines.all,
-            requestLimits: requestLimits?.changedSince(peer.reportedLimits) ?? [],
-            requestLimitsVersion: peer.receivedLimits,
+            requestLimits: statements?.changedSince(peer.reportedStatements) ?? [],
+            requestLimitsVersion: peer.receivedStatements,
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
         // A control instance that has started again lacks what was reported to its last process.
         const isSameProcess = reply.epoch === peer.epoch;
         peer.reportedRun = isSameProcess ? brokenRuns?.last ?? 0 : 0;
         peer.reportedQuarantines = isSameProcess ? quarantinesVersion : 0;
-        peer.reportedLimits = isSameProcess ? limitsVersion : 0;
+        peer.reportedStatements = isSameProcess ? statementsVersion : 0;
         this.applyReply(peer, reply);
         if (reply.revision > this.current.revision) {
             await this.fetch(id, reply.revision);
@@ -281,8 +281,8 @@
         peer.crashVersion = reply.crashVersion;
         peer.suspects = reply.suspects ?? peer.suspects;
         reply.quarantines?.forEach(item => this.quarantines.merge(item));
-        peer.receivedLimits = reply.requestLimitsVersion;
-        reply.requestLimits.forEach(limit => this.deps.requestLimits?.merge(limit));
+        peer.receivedStatements = reply.requestLimitsVersion;
+        reply.requestLimits.forEach(statement => this.deps.statements?.merge(statement));
         peer.heldSessions = new Set(reply.heldSessions);
         reply.records.forEach(({ record, ageMs }) => this.deps.directory.merge(record, ageMs, true));
         reply.renewals.forEach(([id, start, seq, ageMs]) => this.deps.directory.mergeHeartbeat(id, start, seq, ageMs));
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -9,8 +9,8 @@
 import { CrashHistory, type Verdict } from "./CrashHistory.ts";
 import { type Fleet } from "./FleetState.ts";
 import { type RouteOutcomeCounts, sumOutcomes } from "./OutcomeCounters.ts";
-import { type RequestLimits } from "./RequestLimits.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { type UpstreamStatements } from "./UpstreamStatements.ts";
 
 /** Longest time for which a call is held, in ms. The reply also renews the follower's lease. */
 const MAX_HOLD_MS = 1000;
@@ -35,8 +35,8 @@
     readonly confirmationAgeMs: () => number;
     /** Ids of the known control instances, including this one. */
     readonly controls: () => readonly string[];
-    /** Statements of upstreams about their limits, which followers report and receive. */
-    readonly requestLimits?: RequestLimits;
+    /** Statements of upstreams, which followers report and receive. */
+    readonly statements?: UpstreamStatements;
     /** Called for each verdict of this instance. */
     readonly onQuarantined?: (verdict: Verdict) => void;
     /** Called for each quarantine that this instance lifts. */
@@ -124,7 +124,7 @@
         this.crashes.recordRuns(brokenRuns);
         this.crashes.recordAnswers(from, answers);
         this.crashes.mergeQuarantines(quarantines);
-        requestLimits.forEach(limit => this.deps.requestLimits?.merge(limit));
+        requestLimits.forEach(statement => this.deps.statements?.merge(statement));
         this.announceCrashChange();
     }
 
@@ -153,7 +153,7 @@
 
     private reply(known: KnownVersions): PeerReply<"watchFleet"> {
         const { since, entriesVersion, crashVersion, requestLimitsVersion } = known;
-        const { clock, epoch, directory, fleet, confirmationAgeMs, controls, requestLimits } = this.deps;
+        const { clock, epoch, directory, fleet, confirmationAgeMs, controls, statements } = this.deps;
         const now = clock.monotonic();
         const { records, heartbeats } = directory.changedSince(since);
         const entries = [...this.followers]
@@ -177,8 +177,8 @@
                 suspects: [...this.crashes.suspects],
                 quarantines: this.crashes.quarantines.all,
             }),
-            requestLimits: requestLimits?.changedSince(requestLimitsVersion) ?? [],
-            requestLimitsVersion: requestLimits?.version ?? 0,
+            requestLimits: statements?.changedSince(requestLimitsVersion) ?? [],
+            requestLimitsVersion: statements?.version ?? 0,
             heldSessions: [...new Set(entries.flatMap(([, follower]) => follower.heldSessions))],
         };
     }
--- a/src/common/gateway/RatePermitIssuer.ts
+++ b/src/common/gateway/RatePermitIssuer.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock } from "../time/Clock.ts";
 import { AdaptiveRate } from "./AdaptiveRate.ts";
-import { type RequestLimit, type RequestLimits } from "./RequestLimits.ts";
+import { type UpstreamStatement, type UpstreamStatements } from "./UpstreamStatements.ts";
 
 const MS_PER_SECOND = 1000;
 /** Most permits that accumulate, as the time in which the limit allows them, in seconds; but at least one. */
@@ -19,7 +19,7 @@
 export interface RatePermitRequest {
     /** Name of the upstream process. */
     readonly upstream: string;
-    readonly limit?: RequestLimit | undefined;
+    readonly limit?: UpstreamStatement | undefined;
     /** Whether the upstream can't bear many refusals. */
     readonly isBrittle: boolean;
 }
@@ -39,12 +39,12 @@
 /** Token buckets by upstream process. */
 export class RatePermitIssuer {
     private readonly clock: Clock;
-    private readonly limits: RequestLimits;
+    private readonly limits: UpstreamStatements;
     private readonly buckets = new Map<string, TokenBucket>();
     /** Rates of the brittle upstreams. */
     private readonly adaptiveRates = new Map<string, AdaptiveRate>();
 
-    public constructor(clock: Clock, limits: RequestLimits) {
+    public constructor(clock: Clock, limits: UpstreamStatements) {
         this.clock = clock;
         this.limits = limits;
     }
@@ -54,7 +54,7 @@
         if (limit !== undefined) {
             this.limits.merge(limit);
         }
-        const perSecond = this.limits.get(upstream);
+        const perSecond = this.limits.limitOf(upstream);
         if (perSecond === undefined) {
             const waitMs = isBrittle ? this.adaptiveRateOf(upstream).take() : 0;
             return { isGranted: waitMs === 0, waitMs };
--- a/src/common/gateway/RatePermits.ts
+++ b/src/common/gateway/RatePermits.ts
@@ -7,7 +7,7 @@
 import { hashFraction, rendezvous } from "../routing/Hash.ts";
 import { type Clock } from "../time/Clock.ts";
 import { type RatePermitIssuer, type RatePermitReply, type RatePermitRequest } from "./RatePermitIssuer.ts";
-import { type RequestLimits } from "./RequestLimits.ts";
+import { type UpstreamStatements } from "./UpstreamStatements.ts";
 
 /** Time in which a permit must be issued, in ms. */
 const ISSUE_TIMEOUT_MS = 150;
@@ -24,7 +24,7 @@
 export interface RatePermitsDependencies {
     readonly clock: Clock;
     readonly network: PeerNetwork;
-    readonly limits: RequestLimits;
+    readonly limits: UpstreamStatements;
     /** Issues the permits for which this instance is the issuer. */
     readonly issuer: RatePermitIssuer;
     /** Ids of the entry instances, this one included; empty while they may not know each other. */
@@ -66,7 +66,7 @@
 
     /** Whether a request to the upstream process needs a permit. */
     public areNeeded({ name, service }: PermitTarget): boolean {
-        return this.deps.limits.get(name) !== undefined || this.bearableRefusals.has(service);
+        return this.deps.limits.limitOf(name) !== undefined || this.bearableRefusals.has(service);
     }
 
     /**
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -65,9 +65,9 @@
         return this.entries.values();
     }
 
-    /** Whether a process that is not gone listens at the address, IP:PORT. */
-    public hasUpstreamAt(address: string): boolean {
-        return this.entryAt(address, "") !== undefined;
+    /** Record of the process that listens at the address, IP:PORT; undefined if none does, or it is gone. */
+    public recordAt(address: string): UpstreamRecord | undefined {
+        return this.entryAt(address, "")?.record;
     }
 
     /**
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -10,6 +10,7 @@
 import { type PlacementCandidate, placeRequest } from "./Placement.ts";
 import { type PermitTarget } from "./RatePermits.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { type UpstreamPauses } from "./UpstreamPauses.ts";
 import { type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
 import { type UpstreamStatistics, type UpstreamStats } from "./UpstreamStatistics.ts";
 import { type VersionRule } from "./VersionRule.ts";
@@ -66,6 +67,9 @@
     readonly coldTolerance: ColdStartTolerance;
     /** Whether the requests that an upstream process takes, by its own limit, are known to be used up. */
     readonly isLimitUsedUp: (target: PermitTarget) => boolean;
+    /** Whether an upstream process is known to leave. */
+    readonly isLeaving: (upstream: string) => boolean;
+    readonly pauses: UpstreamPauses;
     /**
      * Called for each request to a cold upstream; `sinceLastMs` is the time since this instance's previous one to it, in
      * ms, and undefined for the first.
@@ -73,6 +77,11 @@
     readonly onColdSend: (record: UpstreamRecord, sinceLastMs: number | undefined) => void;
 }
 
+/** What upstreams have stated that keeps requests from them. */
+interface UpstreamHolds extends Pick<UpstreamSelectorDependencies, "isLimitUsedUp" | "isLeaving"> {
+    readonly pauses: Pick<UpstreamPauses, "remainingMs">;
+}
+
 /** Key that identifies one process of an upstream, since an id is reused after a restart. */
 export const processName = (record: UpstreamRecord): string => `${record.id} ${record.start}`;
 
@@ -102,6 +111,7 @@
             return undefined;
         }
         const { record, name, stats } = chosen;
+        this.deps.pauses.recordSend(name);
         if (this.isCold(chosen)) {
             this.deps.onColdSend(record, this.cold.recordSend(name));
         }
@@ -115,11 +125,22 @@
 
     /** Whether an upstream could take the request now if it did not limit its requests. */
     public isHeldByLimits(req: SelectionRequest): boolean {
-        return this.findUsable(req, () => false).length > 0;
+        return this.findUsable(req, { ...this.deps, isLimitUsedUp: () => false }).length > 0;
+    }
+
+    /**
+     * Time until an upstream can take the request, in ms, if those that could take it now have asked for a pause;
+     * undefined if there are none.
+     */
+    public pauseRemainingMs(req: SelectionRequest): number | undefined {
+        const { pauses } = this.deps;
+        const paused = this.findUsable(req, { ...this.deps, pauses: { remainingMs: () => 0 } });
+        return paused.length === 0 ? undefined : Math.min(...paused.map(({ name }) => pauses.remainingMs(name)));
     }
 
-    private findUsable(req: SelectionRequest, isLimitUsedUp = this.deps.isLimitUsedUp): UsableUpstream[] {
+    private findUsable(req: SelectionRequest, holds: UpstreamHolds = this.deps): UsableUpstream[] {
         const { directory, upstreamStats, clock, fleet } = this.deps;
+        const { isLimitUsedUp, isLeaving, pauses } = holds;
         const { drainedDomains } = fleet();
         const now = clock.monotonic();
         const found: UsableUpstream[] = [];
@@ -131,6 +152,7 @@
             const name = processName(record);
             const stats = upstreamStats.statsOf(name);
             const isAvailable = now >= stats.pausedUntil && !this.isFull(req.service, record, stats)
+                && pauses.remainingMs(name) <= 0 && !isLeaving(name)
                 && !isLimitUsedUp({ name, service: record.service });
             if (
                 isAvailable && !req.tried.has(name) && !drainedDomains.includes(record.domain)
--- a/src/common/gateway/UpstreamStatistics.ts
+++ b/src/common/gateway/UpstreamStatistics.ts
@@ -118,7 +118,7 @@
         this.updateFailureRate(stats, 1);
         if (stats.consecutiveFailures >= 2) {
             const pauseMs = INITIAL_PAUSE_MS * 2 ** Math.min(10, stats.consecutiveFailures - 2);
-            stats.pausedUntil = this.clock.monotonic() + Math.min(MAX_PAUSE_MS, pauseMs);
+            this.pause(stats, Math.min(MAX_PAUSE_MS, pauseMs));
         }
     }
 
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -8,8 +8,8 @@
 import { fleetSchema } from "../gateway/FleetState.ts";
 import { routeOutcomeCountsSchema } from "../gateway/OutcomeCounters.ts";
 import { quarantineSchema } from "../gateway/QuarantineList.ts";
-import { requestLimitSchema } from "../gateway/RequestLimits.ts";
 import { upstreamRecordSchema } from "../gateway/UpstreamRecord.ts";
+import { upstreamStatementSchema } from "../gateway/UpstreamStatements.ts";
 import { memberSchema } from "../membership/Member.ts";
 import { pinSchema } from "../sessions/SessionPins.ts";
 import { slotGrantSchema, slotRequestSchema } from "../slots/SlotTypes.ts";
@@ -129,7 +129,7 @@
             /** Quarantines that the sender knows, when they have changed or the receiver has started again. */
             quarantines: z.array(quarantineSchema).default([]),
             /** Statements of upstreams that the receiver may lack, and the version of those received from it. */
-            requestLimits: z.array(requestLimitSchema).default([]),
+            requestLimits: z.array(upstreamStatementSchema).default([]),
             requestLimitsVersion: z.number().default(0),
             /** Sessions that the sender keeps on their version although a roll-out has selected them. */
             heldSessions: z.array(z.string()),
@@ -161,18 +161,26 @@
             /** Requests that no upstream may run any more. */
             quarantines: z.array(quarantineSchema).optional(),
             /** Statements of upstreams that have come since the version in the request, and their version. */
-            requestLimits: z.array(requestLimitSchema).default([]),
+            requestLimits: z.array(upstreamStatementSchema).default([]),
             requestLimitsVersion: z.number().default(0),
             /** Sessions that some entry instance keeps on their version. */
             heldSessions: z.array(z.string()),
         }),
     },
+    /**
+     * Tells an instance that relayed a response what it states: the upstream is leaving, or wants no requests from the
+     * relaying instance for `pauseMs`.
+     */
+    noteUpstream: {
+        req: z.object({ upstream: z.string(), isLeaving: z.boolean(), pauseMs: z.number().optional() }),
+        reply: empty,
+    },
     /** Takes a permit to send one request to an upstream that limits its requests or can't bear many refusals. */
     issueRatePermit: {
         req: z.object({
             upstream: z.string(),
             /** What the sender knows of the upstream's limit. */
-            limit: requestLimitSchema.optional(),
+            limit: upstreamStatementSchema.optional(),
             /** Whether the upstream can't bear many refusals. */
             isBrittle: z.boolean(),
         }),
--- /dev/null
+++ b/src/node/gateway/BrokenRuns.ts
@@ -0,0 +1,41 @@
+/**
+ * Reports connections that broke under a request, which may show that the request has crashed its upstream.
+ */
+import { type CrashObserver } from "../../common/gateway/CrashObserver.ts";
+import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
+import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
+import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
+import { type Clock } from "../../common/time/Clock.ts";
+import { type Log } from "../log/Log.ts";
+import { type Call } from "./RequestRouter.ts";
+import { type UpstreamTransport } from "./UpstreamConnections.ts";
+
+/** Dependencies of `reportBrokenRun`. */
+export interface BrokenRunDependencies {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly directory: UpstreamDirectory;
+    readonly connections: UpstreamTransport;
+    readonly observer: CrashObserver;
+}
+
+/** Reports that a connection broke under a request, unless the upstream is leaving or still listens. */
+export const reportBrokenRun = async (
+    { clock, log, directory, connections, observer }: BrokenRunDependencies,
+    { req, keys }: Call,
+    { record, name }: Selection,
+): Promise<void> => {
+    const { id, start } = record;
+    const brokenAt = clock.monotonic();
+    if (directory.get(id)?.record.state !== "ready") {
+        return;
+    }
+    const probe = await connections.probe(addressOf(record));
+    const request = keys.request();
+    log.info("A connection broke under a request.", { req: req.id, upstream: name, request, probe });
+    if (probe !== "accepted") {
+        const ageMs = clock.monotonic() - brokenAt;
+        const isRefused = probe === "refused";
+        observer.recordBrokenRun({ upstream: id, start, request, parts: [...keys.parts], ageMs, isRefused });
+    }
+};
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -8,11 +8,11 @@
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
 import { type Fleet, type FleetCommand, FleetState } from "../../common/gateway/FleetState.ts";
-import { RequestLimits } from "../../common/gateway/RequestLimits.ts";
 import { RolloutController } from "../../common/gateway/RolloutController.ts";
 import { createRolloutSchedule } from "../../common/gateway/RolloutPlan.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { addressOf, type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
+import { UpstreamStatements } from "../../common/gateway/UpstreamStatements.ts";
 import { VoterReconciler } from "../../common/gateway/VoterReconciler.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
@@ -61,7 +61,7 @@
     private readonly controlLog: ControlLog;
     private readonly client: ControlClient;
     private readonly directory: UpstreamDirectory;
-    private readonly requestLimits: RequestLimits;
+    private readonly statements: UpstreamStatements;
     private readonly follower: FleetFollower;
     private readonly publisher: FleetPublisher;
 
@@ -70,7 +70,7 @@
         this.deps = deps;
         const { clock, network, store, seeds, isBootstrap, log, random } = deps;
         this.directory = new UpstreamDirectory(clock);
-        this.requestLimits = new RequestLimits(clock);
+        this.statements = new UpstreamStatements(clock);
         this.controlLog = this.register(
             new ControlLog({
                 clock,
@@ -85,16 +85,16 @@
             }),
         );
         const report = (): FollowerReport => ({ outcomes: [], heldSessions: [] });
-        const { directory, requestLimits } = this;
+        const { directory, statements } = this;
         this.follower = this.register(
-            new FleetFollower({ clock, network, role: "control", directory, seeds, report, requestLimits }),
+            new FleetFollower({ clock, network, role: "control", directory, seeds, report, statements }),
         );
         this.publisher = this.register(
             new FleetPublisher({
                 clock,
                 epoch: `${network.self} ${clock.now()}`,
                 directory,
-                requestLimits,
+                statements,
                 fleet: () => this.fleet,
                 confirmationAgeMs: () => this.confirmationAgeMs,
                 controls: () => [network.self, ...this.follower.reachableControls(ADVERTISED_FOR_MS)],
@@ -255,7 +255,7 @@
         }));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => {
             this.directory.evictStale();
-            this.requestLimits.evictStale();
+            this.statements.evictStale();
         }));
     }
 
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -13,13 +13,11 @@
 import { OutcomeCounters } from "../../common/gateway/OutcomeCounters.ts";
 import { RatePermitIssuer } from "../../common/gateway/RatePermitIssuer.ts";
 import { RatePermits } from "../../common/gateway/RatePermits.ts";
-import { RequestLimits } from "../../common/gateway/RequestLimits.ts";
 import { createRolloutSchedule } from "../../common/gateway/RolloutPlan.ts";
 import { RouteTable } from "../../common/gateway/RouteTable.ts";
 import { ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
-import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
 import { processName, type Selection, UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { mustKeepVersion } from "../../common/gateway/VersionRule.ts";
@@ -28,6 +26,7 @@
 import { type Clock, repeat, sleep, withTimeout } from "../../common/time/Clock.ts";
 import { HttpServer } from "../http/HttpServer.ts";
 import { type Log } from "../log/Log.ts";
+import { reportBrokenRun } from "./BrokenRuns.ts";
 import { CallerHandler } from "./CallerHandler.ts";
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
 import { type GatewaySettings } from "./GatewaySettings.ts";
@@ -36,9 +35,10 @@
 import { RELAY_DIAL_TIMEOUT_MS } from "./RelayProtocol.ts";
 import { RelayServer } from "./RelayServer.ts";
 import { RequestLog } from "./RequestLog.ts";
-import { type Call, RequestRouter } from "./RequestRouter.ts";
+import { RequestRouter } from "./RequestRouter.ts";
 import { UpstreamAttempts } from "./UpstreamAttempts.ts";
 import { dialDirect, UpstreamConnections, type UpstreamTransport } from "./UpstreamConnections.ts";
+import { UpstreamNotices } from "./UpstreamNotices.ts";
 
 /**
  * Duration of the lease as a fraction of the setting `revoke_ms`, the time within which a removed key must stop working
@@ -86,7 +86,7 @@
     private readonly sessions: SessionVersions;
     private readonly canaryShare: number;
     private readonly crashObserver: CrashObserver;
-    private readonly requestLimits: RequestLimits;
+    private readonly notices: UpstreamNotices;
     private readonly permitIssuer: RatePermitIssuer;
     private readonly permits: RatePermits;
     /** Current process of each upstream, by upstream id. */
@@ -106,8 +106,11 @@
         this.sessions = new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND + SESSION_MARGIN_MS);
         this.upstreamStats = new UpstreamStatistics(clock);
         this.crashObserver = new CrashObserver(clock);
-        this.requestLimits = new RequestLimits(clock);
-        this.permitIssuer = new RatePermitIssuer(clock, this.requestLimits);
+        this.notices = this.register(
+            new UpstreamNotices({ clock, network, log, relaysOf: upstream => this.connections.relaysOf(upstream) }),
+        );
+        const { statements } = this.notices;
+        this.permitIssuer = new RatePermitIssuer(clock, statements);
         this.follower = this.register(
             new FleetFollower({
                 clock,
@@ -117,14 +120,14 @@
                 seeds,
                 report: () => this.report(),
                 crashes: this.crashObserver,
-                requestLimits: this.requestLimits,
+                statements,
             }),
         );
         this.connections = this.register(deps.createTransport?.() ?? this.createConnections());
         this.permits = new RatePermits({
             clock,
             network,
-            limits: this.requestLimits,
+            limits: statements,
             issuer: this.permitIssuer,
             entries: () => this.follower.entries,
             entryCount: () => this.follower.entryCount,
@@ -156,6 +159,7 @@
             fleet: () => this.follower.fleet,
             hasLease: () => this.hasLease,
             isQuarantined,
+            isHeldBack: upstream => this.notices.reasonToSpare(upstream) !== undefined,
             isSessionPinned: session => this.follower.isSessionPinned(session),
         });
         this.handler = new CallerHandler({
@@ -260,16 +264,13 @@
     }
 
     private createRelayServer(): RelayServer | undefined {
-        const { settings: { doors, control }, log } = this.deps;
+        const { clock, settings: { doors, control }, log } = this.deps;
         return doors.relay === undefined ? undefined : new RelayServer({
             address: doors.relay,
             secret: control.secret,
             log,
-            isUpstream: address => this.directory.hasUpstreamAt(address),
-            refusalReason: () => {
-                const lostReason = this.connections.arePathsLost ? "the paths of this instance are lost" : undefined;
-                return this.isStopping ? "the instance is stopping" : lostReason;
-            },
+            clock,
+            refusalReason: address => this.relayRefusal(address),
             dial: address => dialDirect(address, RELAY_DIAL_TIMEOUT_MS),
         });
     }
@@ -288,6 +289,8 @@
             hasQuorumContact: () => this.hasQuorumContact,
             coldTolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
             isLimitUsedUp: target => this.permits.areUsedUp(target),
+            isLeaving: upstream => this.notices.statements.isLeaving(upstream),
+            pauses: this.notices.pauses,
             onColdSend: ({ id, start }, sinceLastMs) => {
                 const pause = sinceLastMs === undefined ? {} : { sinceLastMs: Math.round(sinceLastMs) };
                 const entries = this.rosterIds.length;
@@ -297,22 +300,25 @@
     }
 
     private createAttempts(budget: ServiceRetryBudget): UpstreamAttempts {
-        const { clock, codec } = this.deps;
+        const { clock, codec, log } = this.deps;
+        const { directory, connections, crashObserver: observer } = this;
         return this.register(
             new UpstreamAttempts({
                 clock,
                 codec,
-                connections: this.connections,
+                connections,
                 upstreamStats: this.upstreamStats,
-                directory: this.directory,
+                directory,
                 entryCount: () => this.follower.entryCount,
                 hasQuorumContact: () => this.hasQuorumContact,
                 escalator: new ModelEscalator(),
                 withdrawForEscalation: service => budget.tryWithdrawForEscalation(service),
-                onConnectionClosed: (call, selection) => void this.recordBrokenRun(call, selection),
+                onConnectionClosed: (call, selection) =>
+                    void reportBrokenRun({ clock, log, directory, connections, observer }, call, selection),
                 onAnswered: ({ keys }) => this.crashObserver.recordAnswer([keys.request(), ...keys.parts]),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
+                isHeldBack: upstream => this.notices.reasonToSpare(upstream) !== undefined,
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onUnanswered: (call, { record }, waitedMs) =>
                     this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
@@ -323,18 +329,30 @@
     }
 
     private recordStatement({ name: upstream, record: { service } }: Selection, head: ResponseHead): void {
-        const { requestLimit: perSecond, bearableRefusals, isNotRun } = head;
-        const limit = perSecond === undefined ? {} : { perSecond };
-        if (this.requestLimits.merge({ upstream, ...limit, ageMs: 0 })) {
-            const text = perSecond === undefined ? "limits its requests no more" : "limits its requests";
-            this.deps.log.info(`An upstream ${text}.`, { upstream, ...limit });
-        }
+        const { bearableRefusals, isNotRun } = head;
+        this.notices.record(upstream, head);
         this.permits.recordBearableRefusals(service, bearableRefusals);
         if (isNotRun) {
             void this.permits.recordRefusal({ name: upstream, service });
         }
     }
 
+    /** Why no connection to the address is relayed at the moment; undefined if it may be. */
+    public relayRefusal(address: string): string | undefined {
+        const record = this.directory.recordAt(address);
+        if (record === undefined) {
+            return "no upstream is known at the address";
+        }
+        const spareReason = this.notices.reasonToSpare(processName(record));
+        if (spareReason !== undefined) {
+            return spareReason;
+        }
+        if (this.isStopping) {
+            return "the instance is stopping";
+        }
+        return this.connections.arePathsLost ? "the paths of this instance are lost" : undefined;
+    }
+
     private createCallerServer(): HttpServer | undefined {
         const { broker, settings: { doors, instance } } = this.deps;
         if (doors.callers === undefined) {
@@ -363,17 +381,18 @@
                 this.upstreamStats.remove(previous);
                 this.selector.forget(previous);
                 this.permits.forget(previous);
+                this.notices.pauses.forget(previous);
             }
             this.processNames.set(id, name);
             if (state === "gone") {
                 this.connections.close(name);
                 this.selector.forget(name);
                 this.permits.forget(name);
+                this.notices.pauses.forget(name);
             }
         }));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => {
             this.directory.evictStale();
-            this.requestLimits.evictStale();
             this.permitIssuer.evictIdle();
         }));
         this.register(network.handle("issueRatePermit", req => this.permitIssuer.issue(req)));
@@ -384,29 +403,6 @@
         this.register(repeat(clock, EVICTION_PERIOD_MS / 20, () => this.logLeaseChange()));
     }
 
-    /** Records that a connection broke under a request, unless the upstream is leaving or still listens. */
-    private async recordBrokenRun(call: Call, { record, name }: Selection): Promise<void> {
-        const { clock, log } = this.deps;
-        const { id, start } = record;
-        const brokenAt = clock.monotonic();
-        if (this.directory.get(id)?.record.state !== "ready") {
-            return;
-        }
-        const probe = await this.connections.probe(addressOf(record));
-        const request = call.keys.request();
-        log.info("A connection broke under a request.", { req: call.req.id, upstream: name, request, probe });
-        if (probe !== "accepted") {
-            this.crashObserver.recordBrokenRun({
-                upstream: id,
-                start,
-                request,
-                parts: [...call.keys.parts],
-                ageMs: clock.monotonic() - brokenAt,
-                isRefused: probe === "refused",
-            });
-        }
-    }
-
     private applyFleet(fleet: Fleet): void {
         const { log, readConfig } = this.deps;
         if (fleet.configText !== "" && fleet.configVersion !== this.routeTable?.config.version) {
--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { UpstreamUnreachableError } from "../../common/gateway/UpstreamPaths.ts";
 import { createLog } from "../log/Log.ts";
 import { SystemClock } from "../time/SystemClock.ts";
@@ -32,8 +33,9 @@
         address: RELAY,
         secret: SECRET,
         log: createLog("relay", "fatal"),
-        isUpstream: address => address === LOST_ADDRESS || address === DEAD_ADDRESS,
-        refusalReason: () => refusalReason,
+        clock: new SystemClock(),
+        refusalReason: address =>
+            address === LOST_ADDRESS || address === DEAD_ADDRESS ? refusalReason : "no upstream is known",
         dial: address => dialDirect(address === LOST_ADDRESS ? `127.0.0.1:${port}` : address),
     });
     await relay.start();
@@ -55,9 +57,9 @@
     });
 
 /** Sends a request; resolves with the body, or with the reason of the failure. */
-const send = async (connections: UpstreamConnections): Promise<string> => {
+const send = async (connections: UpstreamConnections, maxConnections = 2): Promise<string> => {
     const req = { method: "GET", path: "/", headers: ["Host", "x"], body: undefined };
-    const exchange = connections.send("u 1", LOST_ADDRESS, 2, req);
+    const exchange = connections.send("u 1", LOST_ADDRESS, maxConnections, req);
     const head = await exchange.readHead();
     if (isFailure(head)) {
         return head.message;
@@ -111,6 +113,31 @@
     connections.dispose();
 });
 
+test("RelayServer: when an upstream wants no requests, idle connections close and those in use do not", async () => {
+    for (const isAnswering of [true, false]) {
+        let answers = 0;
+        const hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+        answer = socket => {
+            socket.write(hello);
+            socket.on("data", () => isAnswering && ++answers > 0 && socket.write(hello));
+        };
+        const connections = createConnections(() => undefined);
+        // The first request finds that the path is lost, which renews the connections.
+        assert.equal(await send(connections, 1), "hello");
+        assert.equal(await send(connections, 1), "hello");
+        const used = send(connections, 1);
+        await sleep(50);
+        assert.equal(answers, isAnswering ? 1 : 0);
+        assert.deepEqual([...connections.relaysOf("u 1")], ["e:2"]);
+        refusalReason = "the upstream wants no requests";
+        await sleep(600);
+        assert.deepEqual([...connections.relaysOf("u 1")], isAnswering ? [] : ["e:2"]);
+        refusalReason = undefined;
+        connections.dispose();
+        await used;
+    }
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -6,6 +6,8 @@
 import { type Socket } from "node:net";
 import { type Duplex } from "node:stream";
 import { routerError } from "../../common/errors/RouterError.ts";
+import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
+import { type Clock, repeat } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
 import { isAuthorized, UPSTREAM_UNREACHABLE_STATUS } from "./RelayProtocol.ts";
@@ -14,28 +16,43 @@
 const MAX_CONNECTIONS = 1000;
 /** Idle time after which the operating system sends TCP keep-alive probes, in ms. */
 const KEEP_ALIVE_PROBE_MS = 2000;
+/** How often connections that are not to be relayed any more are looked for, in ms. */
+const IDLE_CHECK_PERIOD_MS = 100;
+/** Time without bytes after an answer from which a connection counts as idle, in ms. */
+const IDLE_AFTER_MS = 200;
 
 /** Dependencies of the server. */
 export interface RelayServerDependencies {
     readonly address: Address;
     readonly secret: string;
     readonly log: Log;
-    /** Whether an upstream that may get requests listens at the address. */
-    readonly isUpstream: (address: string) => boolean;
-    /** Why nothing can be relayed at the moment; undefined if it can. */
-    readonly refusalReason: () => string | undefined;
+    readonly clock: Clock;
+    /** Why no connection to the address can be relayed at the moment; undefined if it can. */
+    readonly refusalReason: (address: string) => string | undefined;
     /** Opens a direct connection to an upstream. */
     readonly dial: (address: string) => Promise<Socket>;
 }
 
+interface RelayedConnection {
+    readonly socket: Socket;
+    readonly address: string;
+    /** Whether the newest bytes came from the upstream, so that no request waits for its answer. */
+    isAnswered: boolean;
+    /** Monotonic time of the newest bytes, in ms. */
+    usedAt: number;
+}
+
 /** Listens for other instances. */
-export class RelayServer {
+export class RelayServer extends DisposableOwner {
     private readonly deps: RelayServerDependencies;
-    private readonly sockets = new Set<Duplex>();
+    private readonly connections = new Set<RelayedConnection>();
     private server: Server | undefined;
 
     public constructor(deps: RelayServerDependencies) {
+        super();
         this.deps = deps;
+        this.register(repeat(deps.clock, IDLE_CHECK_PERIOD_MS, () => this.closeUnwanted()));
+        this.register({ dispose: () => this.close() });
     }
 
     public start(): Promise<void> {
@@ -55,14 +72,25 @@
     }
 
     /** Closes the listener and all relayed connections. */
-    public dispose(): void {
+    private close(): void {
         this.server?.close();
         this.server?.closeAllConnections();
-        this.sockets.forEach(socket => socket.destroy());
+        this.connections.forEach(({ socket }) => socket.destroy());
+    }
+
+    /** Closes idle connections that would not be relayed now, so that no later request goes over them. */
+    private closeUnwanted(): void {
+        const { clock, refusalReason } = this.deps;
+        const idleSince = clock.monotonic() - IDLE_AFTER_MS;
+        for (const { socket, address, isAnswered, usedAt } of this.connections) {
+            if (isAnswered && usedAt < idleSince && refusalReason(address) !== undefined) {
+                socket.destroy();
+            }
+        }
     }
 
     private async relay(req: IncomingMessage, socket: Duplex, head: Buffer): Promise<void> {
-        const { secret, isUpstream, refusalReason, dial, log } = this.deps;
+        const { secret, refusalReason, dial, log } = this.deps;
         const target = req.url ?? "";
         // A socket without a listener for errors would end the process.
         socket.on("error", () => socket.destroy());
@@ -75,7 +103,7 @@
             refuse(403, "not authorized");
             return;
         }
-        const reason = isUpstream(target) ? refusalReason() : "no upstream is known at the address";
+        const reason = refusalReason(target);
         if (reason !== undefined) {
             refuse(503, reason);
             return;
@@ -84,7 +112,7 @@
             const upstream = await dial(target);
             socket.write("HTTP/1.1 200 Connected\r\n\r\n");
             upstream.write(head);
-            this.connect(socket as Socket, upstream);
+            this.connect(socket as Socket, upstream, target);
         }
         catch (err) {
             refuse(UPSTREAM_UNREACHABLE_STATUS, (err as Error).message);
@@ -92,13 +120,21 @@
     }
 
     /** Passes bytes on in both directions. A reset is passed on as a reset: the response before it is incomplete. */
-    private connect(socket: Socket, upstream: Socket): void {
-        this.sockets.add(socket);
+    private connect(socket: Socket, upstream: Socket, address: string): void {
+        const { clock } = this.deps;
+        const connection = { socket, address, isAnswered: true, usedAt: clock.monotonic() };
+        const recordUse = (isAnswered: boolean) => (): void => {
+            connection.isAnswered = isAnswered;
+            connection.usedAt = clock.monotonic();
+        };
+        this.connections.add(connection);
+        socket.on("data", recordUse(false));
+        upstream.on("data", recordUse(true));
         socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
         // The other instance never half-closes: with the end of its connection it has given up the request.
         socket.once("end", () => upstream.destroy());
         socket.once("close", () => {
-            this.sockets.delete(socket);
+            this.connections.delete(connection);
             upstream.destroy();
         });
         upstream.once("error", () => socket.resetAndDestroy());
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -13,6 +13,7 @@
 import { type SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { type Selection, type UpstreamSelector } from "../../common/gateway/UpstreamSelector.ts";
 import { type SessionHistory, versionRule } from "../../common/gateway/VersionRule.ts";
+import { hashFraction } from "../../common/routing/Hash.ts";
 import { type Clock, sleep } from "../../common/time/Clock.ts";
 import { type Attempt, type AttemptFailure } from "./Attempt.ts";
 import { type CallerReply } from "./CallerReply.ts";
@@ -24,6 +25,8 @@
 const WAIT_POLL_MS = 20;
 /** Suggested retry delay of a refused request, in ms: a recovered upstream registers within about a second. */
 const RETRY_AFTER_MS = 600;
+/** Range over which the callers that are to return after a pause of the upstreams are spread, in ms. */
+const RETURN_SPREAD_MS = 500;
 /** Most attempts for one request; unlike the route's `maxAttempts`, it includes those that did not run it. */
 const MAX_SENT_ATTEMPTS = 5;
 /** No attempt is sent with less time than this until the deadline, in ms. */
@@ -51,6 +54,13 @@
     readonly reply: CallerReply;
 }
 
+/** Why no upstream was selected. */
+interface NoSelection {
+    readonly reason: string;
+    /** Suggested retry delay, in ms; undefined if returning is of no use. */
+    readonly retryAfterMs: number | undefined;
+}
+
 /** Result of a request, for logs and metrics. */
 export interface CallResult {
     /**
@@ -78,6 +88,8 @@
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
     readonly isQuarantined: (keys: CallKeys) => boolean;
+    /** Whether an upstream process has stated, to this instance or another one, that it wants no requests now. */
+    readonly isHeldBack: (upstream: string) => boolean;
     /** Whether another entry instance reports that the session must keep its version. */
     readonly isSessionPinned: (session: string) => boolean;
 }
@@ -127,11 +139,11 @@
             if (call.reply.isCallerGone) {
                 break;
             }
-            if (typeof selection === "string") {
+            if ("reason" in selection) {
                 return this.sendFinalFailure(call, state, selection);
             }
             if (this.deps.isQuarantined(call.keys)) {
-                return this.sendFinalFailure(call, state, QUARANTINED);
+                return this.sendFinalFailure(call, state, { reason: QUARANTINED, retryAfterMs: undefined });
             }
             const attempt = this.send(call, state, selection);
             const result = await attempt.run();
@@ -151,8 +163,8 @@
     }
 
     /** Picks an upstream. Polls for a while if none can take the request; resolves with the reason if none turns up. */
-    private async select(call: Call, state: CallState): Promise<Selection | string> {
-        const { clock, selector, fleet, hasLease, permits } = this.deps;
+    private async select(call: Call, state: CallState): Promise<Selection | NoSelection> {
+        const { clock, selector, fleet, hasLease, permits, isHeldBack } = this.deps;
         const { service, req, route } = call;
         let denials = 0;
         const waitUntil = clock.monotonic() + route.objectiveMs * WAIT_FRACTION;
@@ -163,7 +175,11 @@
             const selection = selector.select(wanted);
             if (selection !== undefined) {
                 const target = { name: selection.name, service: service.name };
-                if (!permits.areNeeded(target) || await permits.take(target)) {
+                if (!permits.areNeeded(target)) {
+                    return selection;
+                }
+                // The upstream may have asked for a pause while the permit was under way.
+                if (await permits.take(target) && !isHeldBack(selection.name)) {
                     return selection;
                 }
             }
@@ -171,14 +187,19 @@
                 continue;
             }
             if (selection !== undefined || selector.isHeldByLimits(wanted)) {
-                return "the upstreams take no more requests per second";
+                return refusalOf("the upstreams take no more requests per second");
+            }
+            const pauseMs = selector.pauseRemainingMs(wanted);
+            if (pauseMs !== undefined && clock.monotonic() + pauseMs > waitUntil) {
+                const spreadMs = hashFraction(req.id) * RETURN_SPREAD_MS;
+                return refusalOf("the upstreams want no requests for a while", pauseMs + spreadMs);
             }
             if (clock.monotonic() >= waitUntil) {
                 break;
             }
             await sleep(clock, WAIT_POLL_MS);
         }
-        return hasLease() ? "no upstream may take the request" : "cut off from control";
+        return refusalOf(hasLease() ? "no upstream may take the request" : "cut off from control");
     }
 
     private getSessionHistory(session: string | undefined, service: Service): SessionHistory {
@@ -225,10 +246,12 @@
         }
         const isExhausted = this.remainingMs(call) <= MIN_ATTEMPT_MS || state.upstreamIds.length >= MAX_SENT_ATTEMPTS;
         if (isExhausted || !this.mayRetry(call, state, failure)) {
-            return this.sendFinalFailure(call, state, failure.message);
+            return this.sendFinalFailure(call, state, refusalOf(failure.message));
         }
         const hasBudget = !failure.wasSent || this.deps.budget.tryWithdraw(call.service.name);
-        return hasBudget ? undefined : this.sendFinalFailure(call, state, `${failure.message}; no repeats are left`);
+        return hasBudget
+            ? undefined
+            : this.sendFinalFailure(call, state, refusalOf(`${failure.message}; no repeats are left`));
     }
 
     private mayRetry(call: Call, state: CallState, failure: AttemptFailure): boolean {
@@ -243,7 +266,7 @@
     }
 
     /** Ends a request that failed: breaks off a begun response, relays the 5xx response, or sends an error. */
-    private sendFinalFailure(call: Call, state: CallState, reason: string): CallResult {
+    private sendFinalFailure(call: Call, state: CallState, { reason, retryAfterMs }: NoSelection): CallResult {
         const { reply, req } = call;
         const { codec } = this.deps;
         if (reply.hasBegun) {
@@ -256,7 +279,6 @@
             return { outcome: "failed", status: head.status, reason };
         }
         if (state.possibleRuns === 0) {
-            const retryAfterMs = reason === QUARANTINED ? undefined : RETRY_AFTER_MS;
             reply.sendError(503, codec.refusalHeaders(req, retryAfterMs), `${reason}; the request has not run`);
             return { outcome: "refused", status: 503, reason };
         }
@@ -286,3 +308,5 @@
         return call.deadlineAt - this.deps.clock.monotonic();
     }
 }
+
+const refusalOf = (reason: string, retryAfterMs = RETRY_AFTER_MS): NoSelection => ({ reason, retryAfterMs });
