--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -243,6 +243,7 @@
             outcomes: [...outcomes],
             heldSessions: [...heldSessions],
             entriesVersion: peer.entriesVersion,
+            crashes: [],
             brokenRuns: [...brokenRuns?.runs ?? []],
             answers: [...crashes?.answersTo(peer.suspects) ?? []],
             crashVersion: peer.crashVersion,
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -172,6 +172,7 @@
             entryCount: entries.length,
             entriesVersion: this.entriesVersion,
             entries: entriesVersion === this.entriesVersion ? undefined : [...this.entryIds],
+            quarantined: [],
             crashVersion: this.crashVersion,
             ...(crashVersion === this.crashVersion ? {} : {
                 suspects: [...this.crashes.suspects],
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -120,6 +120,8 @@
             revision: z.number(),
             /** Outcomes of versions in a roll-out, counted since the start of the sender's process. */
             outcomes: z.array(routeOutcomeCountsSchema),
+            /** Always empty. Builds before 102a209 reject requests without it. */
+            crashes: z.array(z.unknown()).default([]),
             /** Requests that may have crashed upstreams, each sent once to each process of the receiver. */
             brokenRuns: z.array(brokenRunSchema).default([]),
             /** The newest answers to the suspects that the receiver has listed. */
@@ -156,6 +158,8 @@
             entries: z.array(z.string()).optional(),
             /** Version of the suspects and quarantines, which are undefined if the sender has this version. */
             crashVersion: z.number().default(0),
+            /** Always empty. Builds before 102a209 reject replies without it. */
+            quarantined: z.array(z.unknown()).default([]),
             /** Keys of requests of which the receiver asks whether they have been answered. */
             suspects: z.array(z.string()).optional(),
             /** Requests that no upstream may run any more. */
