--- a/addons/replay/Trace.ts
+++ b/addons/replay/Trace.ts
@@ -1,7 +1,7 @@
 /**
  * The trace format: one JSON event per line, with its time and its expected outcome.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Time of an event, in ms after the deployment has started with its first sheet. */
 const at = z.number().nonnegative();
--- a/src/cli/SettingsCommand.ts
+++ b/src/cli/SettingsCommand.ts
@@ -1,7 +1,7 @@
 /**
  * `skylarktide settings explain`: prints the keys of the settings file as the schema describes them.
  */
-import { type z } from "zod";
+import type * as z from "zod";
 import { nearestName, shapeOf } from "../node/settings/SettingsReader.ts";
 import { settingsSchema } from "../node/settings/SettingsSchema.ts";
 import { ExitCode, fail, print } from "./Output.ts";
--- a/src/common/billing/Bill.ts
+++ b/src/common/billing/Bill.ts
@@ -2,7 +2,7 @@
  * Bills. Each request has one bill under its billing id, with every attempt as an item; recording the same id
  * again has no effect.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const billSchema = z.object({
     /** Id of the request, unique over all instances. */
--- a/src/common/configuration/Change.ts
+++ b/src/common/configuration/Change.ts
@@ -2,7 +2,7 @@
  * Changes of configuration, as commands of the control log. The schema is also the format on disk and between
  * instances, so fields may be added but must never change their meaning.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const origin = {
     /** Operator or policy that requested the change. */
--- a/src/common/configuration/Configuration.ts
+++ b/src/common/configuration/Configuration.ts
@@ -3,7 +3,7 @@
  * deterministic, so all instances that have applied the same log prefix have the same configuration. Values are
  * never modified in place.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { FULL_SHARE_PERCENT, type Sheet } from "../sheet/Sheet.ts";
 import { type Change, type DrainTarget, drainTargets, type SubmitSheet } from "./Change.ts";
 
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -2,7 +2,7 @@
  * What one entry instance sees of crashing upstreams: the requests whose connections broke, and the requests that were
  * answered. Control instances put the observations of all instances together (`CrashHistory`).
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type Clock } from "../time/Clock.ts";
 
 /** How long a broken run is kept for control instances that have started again, in ms. */
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -3,7 +3,7 @@
  * domains that operators have drained. Instances with an `InstanceCore` use `ControlState` instead. The configuration
  * is kept as the text that was sent, so that operators read back exactly what they wrote.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type Command, type StateMachine } from "../control/LogStore.ts";
 import { Emitter } from "../lifecycle/Emitter.ts";
 
--- a/src/common/gateway/OutcomeCounters.ts
+++ b/src/common/gateway/OutcomeCounters.ts
@@ -2,7 +2,7 @@
  * Counts the outcomes of requests by service, version and route. Entry instances report totals since the start of
  * their process, so that a lost or duplicated report does no harm.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addTime, sumHistograms } from "./TimeHistogram.ts";
 
 export const routeOutcomeCountsSchema = z.object({
--- a/src/common/gateway/QuarantineList.ts
+++ b/src/common/gateway/QuarantineList.ts
@@ -2,7 +2,7 @@
  * What requests have in common that no upstream may run any more, because it crashes upstreams. Control instances decide
  * on it; every instance keeps the list and passes it on, so that it outlives the restart of each.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type Clock } from "../time/Clock.ts";
 import { type CallKeys, hasKey } from "./CallKeys.ts";
 
--- a/src/common/gateway/UpstreamRecord.ts
+++ b/src/common/gateway/UpstreamRecord.ts
@@ -2,7 +2,7 @@
  * Records that upstreams send about themselves, and the order of two records. Instances relay records to each other, so
  * a record may arrive late, more than once, or after its process has ended.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const upstreamRecordSchema = z.object({
     id: z.string(),
--- a/src/common/gateway/UpstreamStatements.ts
+++ b/src/common/gateway/UpstreamStatements.ts
@@ -3,7 +3,7 @@
  * Instances pass the statements on to each other, so that one that has had no response of an upstream yet, or has
  * started again, knows them too.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type Clock } from "../time/Clock.ts";
 
 /** How long a statement holds if no later one arrives, in ms. */
--- a/src/common/idempotency/ReservationTable.ts
+++ b/src/common/idempotency/ReservationTable.ts
@@ -3,7 +3,7 @@
  * control log before the request is sent. A key without one provably did not run, so a refusal needs no record
  * (presumed abort, as in the literature on commit protocols). Stored commands and fields call a reservation a claim.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** How long a reservation and its outcome are kept, in ms. */
 export const RESERVATION_RETENTION_MS = 24 * 3_600_000;
--- a/src/common/membership/Member.ts
+++ b/src/common/membership/Member.ts
@@ -1,7 +1,7 @@
 /**
  * Records of instances, as exchanged between them.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const memberSchema = z.object({
     id: z.string().max(64),
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -2,7 +2,7 @@
  * Schemas of the calls between instances. The receiving side validates each request and each reply, since a peer
  * may run another version of the program.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { billSchema } from "../billing/Bill.ts";
 import { answerSchema, brokenRunSchema } from "../gateway/CrashObserver.ts";
 import { fleetSchema } from "../gateway/FleetState.ts";
--- a/src/common/sessions/SessionPins.ts
+++ b/src/common/sessions/SessionPins.ts
@@ -2,7 +2,7 @@
  * The versions to which sessions are pinned. The instance that serves a session exchanges its pin with the session's
  * home instances, and every instance merges two pins of one session in the same way.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const pinSchema = z.object({
     /** `ACCOUNT SESSION MODEL`. */
--- a/src/common/sheet/Sheet.ts
+++ b/src/common/sheet/Sheet.ts
@@ -2,7 +2,7 @@
  * The sheet: the complete desired state of the operators, as rows of a CSV file. Each row is a record; the schemas here
  * define the cells of each kind of record, and the types are inferred from them.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Highest limit of requests in flight that a row may set. */
 const MAX_IN_FLIGHT = 100_000;
--- a/src/common/sheet/SheetDiff.ts
+++ b/src/common/sheet/SheetDiff.ts
@@ -1,7 +1,7 @@
 /**
  * Compares two sheets: one change for each record that was added, removed or altered.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { type Sheet } from "./Sheet.ts";
 
 export const sheetChangeSchema = z.object({
--- a/src/common/slots/SlotTypes.ts
+++ b/src/common/slots/SlotTypes.ts
@@ -3,7 +3,7 @@
  * owner grants slots; a slot is the right to have one request in flight on that upstream. The schemas define the
  * wire format.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const accountNeedSchema = z.object({
     account: z.string(),
--- a/src/common/timeline/TimelineEvent.ts
+++ b/src/common/timeline/TimelineEvent.ts
@@ -2,7 +2,7 @@
  * Events of the timeline. Every event has a stamp of a hybrid logical clock, so that the events of all processes
  * merge into one order that is consistent with causality.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const eventKinds = [
     "instanceStarted",
--- a/src/common/upstreams/Upstream.ts
+++ b/src/common/upstreams/Upstream.ts
@@ -2,7 +2,7 @@
  * Messages from upstreams. An upstream repeats its announcement as a heartbeat; load reports and cache events arrive
  * late and with gaps, so each carries a sequence number.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const id = z.string().min(1).max(64).regex(/^[A-Za-z0-9._:-]+$/, "must be letters, digits, dots, colons, dashes");
 const targetName = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/);
--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -17,6 +17,7 @@
 import { ChatHandler } from "./entry/ChatHandler.ts";
 import { type RequestContext } from "./entry/RequestContext.ts";
 import { ServiceHandler } from "./entry/ServiceHandler.ts";
+import { createBrokerListener } from "./http/BrokerListener.ts";
 import { type Certificates } from "./http/Certificates.ts";
 import { HttpServer, type HttpServerLimits } from "./http/HttpServer.ts";
 import { type Metrics } from "./metrics/Metrics.ts";
@@ -54,11 +55,20 @@
         const limits = serverLimits(settings);
         const upstreamServer = new UpstreamServer(core.relay, settings.upstreams.key_sha256);
         this.servers = [
-            new HttpServer(broker, "upstreams", upstreams, limits, upstreamServer.handle, { certificates }),
-            new HttpServer(broker, "callers", callers, limits, this.callerServer.handle, {
-                certificates,
-                skipsActions: true,
-            }),
+            new HttpServer(
+                "upstreams",
+                upstreams,
+                limits,
+                () => createBrokerListener(broker, "upstreams", upstreamServer.handle),
+                { certificates },
+            ),
+            new HttpServer(
+                "callers",
+                callers,
+                limits,
+                () => createBrokerListener(broker, "callers", this.callerServer.handle, { skipsActions: true }),
+                { certificates },
+            ),
         ];
     }
 
--- a/src/node/Instance.ts
+++ b/src/node/Instance.ts
@@ -12,6 +12,7 @@
 import { createAdminActions } from "./admin/AdminActions.ts";
 import { AdminServer, sheetHash } from "./admin/AdminServer.ts";
 import { EntryRole, serverLimits } from "./EntryRole.ts";
+import { createBrokerListener } from "./http/BrokerListener.ts";
 import { Certificates } from "./http/Certificates.ts";
 import { HttpServer } from "./http/HttpServer.ts";
 import { type Log } from "./log/Log.ts";
@@ -210,11 +211,10 @@
             metrics: () => metrics.text(),
         });
         return new HttpServer(
-            this.broker,
             "admin",
             this.settings.doors.admin,
             serverLimits(this.settings),
-            adminServer.handle,
+            () => createBrokerListener(this.broker, "admin", adminServer.handle),
             { certificates: this.certificates },
         );
     }
--- a/src/node/admin/AdminRoutes.ts
+++ b/src/node/admin/AdminRoutes.ts
@@ -2,7 +2,7 @@
  * The routes of the admin API, each with its method, path, required role and parameter schema. Request validation
  * and the OpenAPI description are both derived from this table.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { drainTargets } from "../../common/configuration/Change.ts";
 
 const reason = z.string().max(512).default("");
--- a/src/node/entry/ChatRequest.ts
+++ b/src/node/entry/ChatRequest.ts
@@ -2,7 +2,7 @@
  * The body of `POST /v1/chat/completions`, validated as far as routing depends on it. All other fields are forwarded
  * to the engine unchanged.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { estimateTokens, prefixHashes } from "../../common/routing/Prompt.ts";
 
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -2,7 +2,6 @@
  * The entry role of a gateway process: follows the fleet configuration, admits callers' requests and routes them to
  * upstreams.
  */
-import { type ServiceBroker } from "moleculer";
 import { type CallKeys } from "../../common/gateway/CallKeys.ts";
 import { CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
@@ -24,7 +23,7 @@
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep, withTimeout } from "../../common/time/Clock.ts";
-import { HttpServer } from "../http/HttpServer.ts";
+import { HttpServer, listenerOf } from "../http/HttpServer.ts";
 import { type Log } from "../log/Log.ts";
 import { reportBrokenRun } from "./BrokenRuns.ts";
 import { CallerHandler } from "./CallerHandler.ts";
@@ -61,7 +60,6 @@
 export interface GatewayEntryRoleDependencies {
     readonly clock: Clock;
     readonly network: PeerNetwork;
-    readonly broker: ServiceBroker;
     readonly settings: GatewaySettings;
     readonly seeds: readonly string[];
     readonly codec: ExchangeCodec;
@@ -354,14 +352,12 @@
     }
 
     private createCallerServer(): HttpServer | undefined {
-        const { broker, settings: { doors, instance } } = this.deps;
+        const { settings: { doors } } = this.deps;
         if (doors.callers === undefined) {
             return undefined;
         }
         const limits = { maxHeaderBytes: 65_536, maxHeaders: 200, maxConnections: 3000, requestTimeoutMs: 30_000 };
-        return new HttpServer(broker, `callers ${instance.name}`, doors.callers, limits, this.handler.handle, {
-            skipsActions: true,
-        });
+        return new HttpServer("callers", doors.callers, limits, () => listenerOf(this.handler.handle));
     }
 
     private subscribe(): void {
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -2,13 +2,12 @@
  * One gateway process: its roles, HTTP servers, files and peer network, started and stopped in order. The adapter of a
  * deployment defines the protocols of callers, upstreams and operators.
  */
-import { ServiceBroker } from "moleculer";
 import { watchFile } from "node:fs";
 import { type ExchangeCodec } from "../../common/gateway/ExchangeCodec.ts";
 import { type GatewayConfig } from "../../common/gateway/GatewayConfig.ts";
 import { type Component, Lifecycle } from "../../common/lifecycle/Lifecycle.ts";
 import { type Clock } from "../../common/time/Clock.ts";
-import { type HttpHandler, HttpServer } from "../http/HttpServer.ts";
+import { type HttpHandler, HttpServer, listenerOf } from "../http/HttpServer.ts";
 import { type Log } from "../log/Log.ts";
 import { TcpNetwork } from "../peers/TcpNetwork.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
@@ -48,7 +47,6 @@
     private readonly lifecycle = new Lifecycle();
     private readonly metrics = new GatewayMetrics();
     private readonly network: TcpNetwork;
-    private readonly broker: ServiceBroker;
     private control: GatewayControlRole | undefined;
     private entry: GatewayEntryRole | undefined;
     private isStopping = false;
@@ -62,20 +60,11 @@
         const id = `${peers.host}:${peers.port}`;
         const credentials = { deployment: DEPLOYMENT, id, secret: settings.control.secret };
         this.network = new TcpNetwork(this.clock, credentials, peers, {}, log.withPrefix("peers"));
-        this.broker = new ServiceBroker({
-            nodeID: settings.instance.name,
-            logger: false,
-            metrics: false,
-            tracing: false,
-            internalMiddlewares: false,
-            skipProcessEventRegistration: true,
-        });
     }
 
     public async start(): Promise<void> {
-        const { network, settings, broker } = this;
+        const { network, settings } = this;
         this.lifecycle.add(createComponent("network", () => network.listen(), async () => network.dispose()));
-        this.lifecycle.add(createComponent("broker", () => broker.start(), () => broker.stop()));
         if (settings.instance.roles.includes("control")) {
             await this.addControl();
         }
@@ -149,11 +138,10 @@
     }
 
     private addEntry(): void {
-        const { settings, clock, network, log, adapter, broker, metrics } = this;
+        const { settings, clock, network, log, adapter, metrics } = this;
         const entry = new GatewayEntryRole({
             clock,
             network,
-            broker,
             settings,
             seeds: this.instanceIdsOf(settings.control.seeds),
             codec: adapter.codec,
@@ -199,7 +187,7 @@
     }
 
     private addServer(name: string, address: Address, handler: HttpHandler): void {
-        this.lifecycle.add(new HttpServer(this.broker, name, address, SERVER_LIMITS, handler, { skipsActions: true }));
+        this.lifecycle.add(new HttpServer(name, address, SERVER_LIMITS, () => listenerOf(handler)));
     }
 
     /** Ids of the instances with these control addresses: an id is the peer address, whose port is the same on all. */
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -3,7 +3,7 @@
  */
 import { parse } from "ini";
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { lineOf, type SettingsFault } from "../settings/SettingsReader.ts";
 
 const address = z.string()
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -3,7 +3,8 @@
  * request and hands out the response as it arrives.
  */
 import { connect, type Socket } from "node:net";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
+import Pool from "undici/lib/dispatcher/pool.js";
 import { UpstreamPaths } from "../../common/gateway/UpstreamPaths.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Clock } from "../../common/time/Clock.ts";
--- a/src/node/http/Certificates.test.ts
+++ b/src/node/http/Certificates.test.ts
@@ -8,6 +8,7 @@
 import { connect, type PeerCertificate } from "node:tls";
 import { ManualClock } from "../../common/time/ManualClock.ts";
 import { createLog } from "../log/Log.ts";
+import { createBrokerListener } from "./BrokerListener.ts";
 import { Certificates } from "./Certificates.ts";
 import { sendJson } from "./HttpBody.ts";
 import { HttpServer } from "./HttpServer.ts";
@@ -56,11 +57,10 @@
     await certificates.load();
     const broker = new ServiceBroker({ logger: false, skipProcessEventRegistration: true });
     const server = new HttpServer(
-        broker,
         "test",
         { host: "127.0.0.1", port: 0 },
         LIMITS,
-        async (...[, res]) => sendJson(res, 200, {}),
+        () => createBrokerListener(broker, "test", async (...[, res]) => sendJson(res, 200, {})),
         { certificates },
     );
     context.after(async () => {
--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -1,9 +1,6 @@
 /**
- * An HTTP server with limits on headers, connections and the time for a request to arrive. Requests pass through a
- * moleculer-web gateway of the local broker; their bodies and streams are handled outside the gateway.
+ * An HTTP server with limits on headers, connections and the time for a request to arrive.
  */
-import { type Service, type ServiceBroker } from "moleculer";
-import ApiGateway from "moleculer-web";
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import { routerError } from "../../common/errors/RouterError.ts";
@@ -27,8 +24,6 @@
 export interface HttpServerOptions {
     /** When set, the server accepts TLS connections only. */
     readonly certificates?: Certificates | undefined;
-    /** Whether requests bypass the gateway's action call, which is a fifth of the cost of a caller's request. */
-    readonly skipsActions?: boolean;
     /** Time after which an idle connection is closed, in ms. Default: `DEFAULT_KEEP_ALIVE_MS`. */
     readonly keepAliveMs?: number;
 }
@@ -46,33 +41,30 @@
 /** Time after which an idle connection is closed, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 65_000;
 
-interface ApiGatewayService extends Service {
-    express(): RequestListener;
-}
+/** Listener that passes each request to the handler. */
+export const listenerOf = (handle: HttpHandler): RequestListener => (req, res) => void handle(req, res);
 
 /** An HTTP or HTTPS server on one address. */
 export class HttpServer implements Component {
     public readonly name: string;
-    private readonly broker: ServiceBroker;
     private readonly address: Address;
     private readonly limits: HttpServerLimits;
-    private readonly handle: HttpHandler;
+    private readonly createListener: () => RequestListener;
     private readonly options: HttpServerOptions;
     private server: Server | undefined;
 
+    /** @param createListener called once, when the server starts */
     public constructor(
-        broker: ServiceBroker,
         name: string,
         address: Address,
         limits: HttpServerLimits,
-        handle: HttpHandler,
+        createListener: () => RequestListener,
         options: HttpServerOptions = {},
     ) {
-        this.broker = broker;
         this.name = name;
         this.address = address;
         this.limits = limits;
-        this.handle = handle;
+        this.createListener = createListener;
         this.options = options;
     }
 
@@ -83,8 +75,7 @@
     }
 
     public async start(): Promise<void> {
-        const gateway = this.createGateway();
-        const server = this.createServer(gateway.express());
+        const server = this.createServer(this.createListener());
         server.maxHeadersCount = this.limits.maxHeaders;
         server.maxConnections = this.limits.maxConnections;
         this.server = server;
@@ -139,22 +130,6 @@
         return server;
     }
 
-    private createGateway(): ApiGatewayService {
-        const answer = (req: IncomingMessage, res: ServerResponse): void => void this.handle(req, res);
-        return this.broker.createService({
-            name: `${this.name}-server`,
-            mixins: [ApiGateway],
-            settings: {
-                server: false,
-                logRequest: false,
-                logResponse: false,
-                logRouteRegistration: false,
-                routes: [{ path: "/", use: [answer], bodyParsers: false, aliases: {} }],
-            },
-            ...(this.options.skipsActions === true ? { methods: { httpHandler: answer } } : {}),
-        }) as ApiGatewayService;
-    }
-
     private listen(server: Server): Promise<void> {
         const { host, port } = this.address;
         return new Promise((resolve, reject) => {
--- a/src/node/peers/Handshake.ts
+++ b/src/node/peers/Handshake.ts
@@ -4,7 +4,7 @@
  */
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import { type Socket } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { encodeFrame, FrameAuthenticator, type FrameReader } from "./FrameCodec.ts";
 
--- a/src/node/peers/PeerLink.ts
+++ b/src/node/peers/PeerLink.ts
@@ -3,7 +3,7 @@
  * the next call after a failure; a failure rejects all calls in flight.
  */
 import { connect, type Socket } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { ErrorStatus, type RouterError, routerError, toRouterError } from "../../common/errors/RouterError.ts";
 import { type Disposable, DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerCallName, peerCalls, type PeerReply, type PeerRequest } from "../../common/peers/PeerCalls.ts";
--- a/src/node/peers/TcpNetwork.ts
+++ b/src/node/peers/TcpNetwork.ts
@@ -3,7 +3,7 @@
  * outgoing calls.
  */
 import { createServer, type Server, type Socket } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
 import { type Disposable, DisposableOwner, toDisposable } from "../../common/lifecycle/Disposable.ts";
 import { type PeerCallName, peerCalls, type PeerReply, type PeerRequest } from "../../common/peers/PeerCalls.ts";
--- a/src/node/ratings/RatingClient.ts
+++ b/src/node/ratings/RatingClient.ts
@@ -3,7 +3,7 @@
  * rating.
  */
 import { Pool } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
 
--- a/src/node/settings/SettingsReader.ts
+++ b/src/node/settings/SettingsReader.ts
@@ -4,7 +4,7 @@
  */
 import { parse } from "ini";
 import { readFileSync } from "node:fs";
-import { type z } from "zod";
+import type * as z from "zod";
 import { type Settings, settingsSchema } from "./SettingsSchema.ts";
 
 /** Environment variable that overrides `control.secret`. */
--- a/src/node/settings/SettingsSchema.ts
+++ b/src/node/settings/SettingsSchema.ts
@@ -2,7 +2,7 @@
  * Schema of the settings file (INI) of an instance: every key with its type, default and description. `skylarktide
  * settings explain` prints the descriptions.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { MAX_REQUEST_MS } from "../../common/slots/SlotTypes.ts";
 
 const address = z.string()
--- a/src/node/storage/DataFolder.ts
+++ b/src/node/storage/DataFolder.ts
@@ -4,7 +4,7 @@
  */
 import { open, readFile, rename, unlink } from "node:fs/promises";
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { makeFolder, readIfPresent, replaceFile } from "./Files.ts";
 
--- a/src/node/storage/FileLogStore.ts
+++ b/src/node/storage/FileLogStore.ts
@@ -2,7 +2,7 @@
  * The control log on disk, in three files: the entries, the newest snapshot, and the current term with the vote.
  */
 import { join } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import { type LogEntry, type LogStore, type Snapshot, type StoredLog } from "../../common/control/LogStore.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { type Log } from "../log/Log.ts";
--- a/src/node/upstreams/UpstreamServer.ts
+++ b/src/node/upstreams/UpstreamServer.ts
@@ -4,7 +4,7 @@
  */
 import { timingSafeEqual } from "node:crypto";
 import { type IncomingMessage, type ServerResponse } from "node:http";
-import { type z } from "zod";
+import type * as z from "zod";
 import { routerError, toRouterError } from "../../common/errors/RouterError.ts";
 import {
     type Announcement,
