--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -15,7 +15,9 @@
 /** Longest time for which a call is held, in ms. The reply also renews the follower's lease. */
 const MAX_HOLD_MS = 1000;
 /** Least time for which changes that are not urgent are collected, in ms. */
-const BATCH_MS = 500;
+const MIN_BATCH_MS = 500;
+/** The same for each follower, in ms, so that the replies to many followers stay few. */
+const BATCH_MS_PER_FOLLOWER = 10;
 /** Time since its last call after which an entry instance is no longer counted as in service, in ms. */
 const ENTRY_TIMEOUT_MS = 10_000;
 /** How often crashes are evaluated, in ms. */
@@ -107,17 +109,23 @@
         const since = isFirst ? 0 : req.since;
         while (req.mayWait && !isFirst && !this.isDisposed && !this.hasUrgentChange(req)) {
             const waitedMs = clock.monotonic() - calledAt;
-            const isBatchDue = waitedMs >= BATCH_MS && this.deps.directory.version > since;
+            const { batchMs } = this;
+            const isBatchDue = waitedMs >= batchMs && this.deps.directory.version > since;
             if (waitedMs >= MAX_HOLD_MS || isBatchDue) {
                 break;
             }
-            await this.changeSignal.wait(waitedMs < BATCH_MS ? BATCH_MS - waitedMs : MAX_HOLD_MS - waitedMs);
+            await this.changeSignal.wait(waitedMs < batchMs ? batchMs - waitedMs : MAX_HOLD_MS - waitedMs);
         }
         return isFirst
             ? this.reply({ since: 0, entriesVersion: 0, crashVersion: undefined, requestLimitsVersion: 0 })
             : this.reply(req);
     }
 
+    /** Time for which changes that are not urgent are collected now, in ms. */
+    private get batchMs(): number {
+        return Math.min(MAX_HOLD_MS, Math.max(MIN_BATCH_MS, this.followers.size * BATCH_MS_PER_FOLLOWER));
+    }
+
     private recordFollower(req: PeerRequest<"watchFleet">, from: string, now: number): void {
         const { role, outcomes, heldSessions, brokenRuns, answers, quarantines, requestLimits } = req;
         this.followers.set(from, { role, lastCallAt: now, outcomes, heldSessions });
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -115,7 +115,7 @@
             /** Number of the newest change of upstreams that the sender has received from the receiver. */
             since: z.number(),
             /** Whether the call may wait for changes; false if the sender's quorum confirmation needs renewal. */
-            mayWait: z.boolean(),
+            mayWait: z.boolean().default(true),
             /** Revision of the fleet that the sender has. */
             revision: z.number(),
             /** Outcomes of versions in a roll-out, counted since the start of the sender's process. */
@@ -134,7 +134,7 @@
             requestLimits: z.array(upstreamStatementSchema).default([]),
             requestLimitsVersion: z.number().default(0),
             /** Sessions that the sender keeps on their version although a roll-out has selected them. */
-            heldSessions: z.array(z.string()),
+            heldSessions: z.array(z.string()).default([]),
             /** Version of the list of entry instances that the sender has received from the receiver; 0 for none. */
             entriesVersion: z.number().default(0),
         }),
@@ -147,7 +147,7 @@
             proofAgeMs: z.number(),
             records: z.array(z.object({ record: upstreamRecordSchema, ageMs: z.number() })),
             /** Heartbeats of upstreams whose records the caller has: id, start, sequence number and age in ms. */
-            renewals: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+            renewals: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).default([]),
             /** Ids of the control instances known to the receiver. */
             controls: z.array(z.string()),
             /** Number of entry instances that have recently called the receiver. */
@@ -168,7 +168,7 @@
             requestLimits: z.array(upstreamStatementSchema).default([]),
             requestLimitsVersion: z.number().default(0),
             /** Sessions that some entry instance keeps on their version. */
-            heldSessions: z.array(z.string()),
+            heldSessions: z.array(z.string()).default([]),
         }),
     },
     /**
