--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -14,6 +14,8 @@
 const ANSWER_RETENTION_MS = 30_000;
 /** Most keys whose newest answers are remembered. */
 const MAX_KEYS = 5000;
+/** Least time between two evictions of answers, in ms. Each passes over the entries that were renewed since. */
+const EVICTION_PERIOD_MS = 1000;
 /** Number of the newest answers, and of the newest requests, of which all keys are remembered. */
 const NEWEST_ANSWERS = 50;
 const NEWEST_REQUESTS = 200;
@@ -67,6 +69,7 @@
     private lastNumber = 0;
     /** Monotonic time of the newest answer by key, in ms; the oldest first. */
     private readonly answeredAt = new Map<string, number>();
+    private evictedAt = -Infinity;
     /** The oldest first. */
     private newestAnswers: { readonly at: number; readonly keys: ReadonlySet<string>; }[] = [];
     /** Keys of the parts of the newest requests, the oldest first. */
@@ -97,6 +100,13 @@
             this.answeredAt.delete(key);
             this.answeredAt.set(key, now);
         }
+        if (this.answeredAt.size > MAX_KEYS || now - this.evictedAt > EVICTION_PERIOD_MS) {
+            this.evictedAt = now;
+            this.evictOldest(now);
+        }
+    }
+
+    private evictOldest(now: number): void {
         for (const [oldest, at] of this.answeredAt) {
             if (this.answeredAt.size <= MAX_KEYS && now - at <= ANSWER_RETENTION_MS) {
                 break;
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -171,14 +171,6 @@
             heldSessions: z.array(z.string()).default([]),
         }),
     },
-    /**
-     * Tells an instance that relayed a response what it states: the upstream is leaving, or wants no requests from the
-     * relaying instance for `pauseMs`.
-     */
-    noteUpstream: {
-        req: z.object({ upstream: z.string(), isLeaving: z.boolean(), pauseMs: z.number().optional() }),
-        reply: empty,
-    },
     /** Takes a permit to send one request to an upstream that limits its requests or can't bear many refusals. */
     issueRatePermit: {
         req: z.object({
--- a/src/common/time/Clock.ts
+++ b/src/common/time/Clock.ts
@@ -41,6 +41,36 @@
     };
 };
 
+/** A repeated call that is made only while there is something to do, so that an idle process sleeps. */
+export interface WakefulRepeat extends Disposable {
+    /** To be called when there is something to do. */
+    wake(): void;
+}
+
+/** Calls `run` every `periodMs` after `wake`, until it returns false: there is nothing to do any more. */
+export const repeatWhileBusy = (clock: Clock, periodMs: number, run: () => boolean): WakefulRepeat => {
+    let pending: Disposable | undefined;
+    let isDisposed = false;
+    const tick = (): void => {
+        pending = undefined;
+        if (run()) {
+            wake();
+        }
+    };
+    const wake = (): void => {
+        if (!isDisposed) {
+            pending ??= clock.schedule(periodMs, tick);
+        }
+    };
+    return {
+        wake,
+        dispose: () => {
+            isDisposed = true;
+            pending?.dispose();
+        },
+    };
+};
+
 /** Resolves with the value of `work`, or with `undefined` after `limitMs`. `work` itself is not cancelled. */
 export const withTimeout = <T>(clock: Clock, limitMs: number, work: Promise<T>): Promise<T | undefined> =>
     new Promise((resolve, reject) => {
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -36,7 +36,12 @@
 import { RequestLog } from "./RequestLog.ts";
 import { RequestRouter } from "./RequestRouter.ts";
 import { UpstreamAttempts } from "./UpstreamAttempts.ts";
-import { dialDirect, UpstreamConnections, type UpstreamTransport } from "./UpstreamConnections.ts";
+import {
+    dialDirect,
+    type RawResponseHead,
+    UpstreamConnections,
+    type UpstreamTransport,
+} from "./UpstreamConnections.ts";
 import { UpstreamNotices } from "./UpstreamNotices.ts";
 
 /**
@@ -105,7 +110,7 @@
         this.upstreamStats = new UpstreamStatistics(clock);
         this.crashObserver = new CrashObserver(clock);
         this.notices = this.register(
-            new UpstreamNotices({ clock, network, log, relaysOf: upstream => this.connections.relaysOf(upstream) }),
+            new UpstreamNotices({ clock, self: network.self, log }),
         );
         const { statements } = this.notices;
         this.permitIssuer = new RatePermitIssuer(clock, statements);
@@ -269,6 +274,7 @@
             log,
             clock,
             refusalReason: address => this.relayRefusal(address),
+            onResponse: (address, head) => this.recordRelayedResponse(address, head),
             dial: address => dialDirect(address, RELAY_DIAL_TIMEOUT_MS),
         });
     }
@@ -335,6 +341,14 @@
         }
     }
 
+    /** Records the head of a response from the address that this instance relays to another one. */
+    public recordRelayedResponse(address: string, { status, headers }: RawResponseHead): void {
+        const record = this.directory.recordAt(address);
+        if (record !== undefined && status !== 421) {
+            this.notices.recordRelayed(processName(record), this.deps.codec.readHead(status, headers));
+        }
+    }
+
     /** Why no connection to the address is relayed at the moment; undefined if it may be. */
     public relayRefusal(address: string): string | undefined {
         const record = this.directory.recordAt(address);
@@ -373,18 +387,12 @@
             const name = processName(record);
             const previous = this.processNames.get(id);
             if (previous !== undefined && previous !== name) {
-                this.connections.close(previous);
+                this.forgetProcess(previous);
                 this.upstreamStats.remove(previous);
-                this.selector.forget(previous);
-                this.permits.forget(previous);
-                this.notices.pauses.forget(previous);
             }
             this.processNames.set(id, name);
             if (state === "gone") {
-                this.connections.close(name);
-                this.selector.forget(name);
-                this.permits.forget(name);
-                this.notices.pauses.forget(name);
+                this.forgetProcess(name);
             }
         }));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => {
@@ -399,6 +407,11 @@
         this.register(repeat(clock, EVICTION_PERIOD_MS / 20, () => this.logLeaseChange()));
     }
 
+    private forgetProcess(name: string): void {
+        this.connections.close(name);
+        [this.selector, this.permits, this.notices.pauses].forEach(owner => owner.forget(name));
+    }
+
     private applyFleet(fleet: Fleet): void {
         const { log, readConfig } = this.deps;
         if (fleet.configText !== "" && fleet.configVersion !== this.routeTable?.config.version) {
@@ -406,12 +419,8 @@
             const { headerTimeoutMs, idleTimeoutMs } = this.routeTable.config.limits;
             this.callerServer?.setTimeouts({ headerTimeoutMs, idleTimeoutMs });
         }
-        log.info("A revision of the fleet is in force here.", {
-            revision: fleet.revision,
-            version: fleet.configVersion,
-            rollouts: fleet.rollouts,
-            drainedDomains: fleet.drainedDomains,
-        });
+        const { revision, configVersion: version, rollouts, drainedDomains } = fleet;
+        log.info("A revision of the fleet is in force here.", { revision, version, rollouts, drainedDomains });
     }
 
     private logLeaseChange(): void {
--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -19,12 +19,13 @@
 let upstream: Server;
 let relay: RelayServer;
 let refusalReason: string | undefined;
-let answer = (socket: Socket): void => void socket;
+const relayedHeads: object[] = [];
+let answer = (socket: Socket): void | Promise<void> => void socket;
 
 before(async () => {
     upstream = createServer(socket => {
         socket.on("error", () => undefined);
-        socket.once("data", () => answer(socket));
+        socket.once("data", () => void answer(socket));
     });
     upstream.listen(0, "127.0.0.1");
     await once(upstream, "listening");
@@ -34,6 +35,7 @@
         secret: SECRET,
         log: createLog("relay", "fatal"),
         clock: new SystemClock(),
+        onResponse: (address, head) => relayedHeads.push({ address, ...head }),
         refusalReason: address =>
             address === LOST_ADDRESS || address === DEAD_ADDRESS ? refusalReason : "no upstream is known",
         dial: address => dialDirect(address === LOST_ADDRESS ? `127.0.0.1:${port}` : address),
@@ -56,6 +58,10 @@
         onPathLost,
     });
 
+/** Number of connections that the upstream has. */
+const countConnections = (): Promise<number> =>
+    new Promise(resolve => upstream.getConnections((...[, count]) => resolve(count)));
+
 /** Sends a request; resolves with the body, or with the reason of the failure. */
 const send = async (connections: UpstreamConnections, maxConnections = 2): Promise<string> => {
     const req = { method: "GET", path: "/", headers: ["Host", "x"], body: undefined };
@@ -78,7 +84,7 @@
 };
 
 test("RelayServer: a request goes through another instance when its path is lost", async () => {
-    answer = socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    answer = socket => void socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
     const lost: (string | undefined)[] = [];
     const connections = createConnections(address => lost.push(address));
     assert.equal(await send(connections), "hello");
@@ -89,7 +95,7 @@
 
 // The end of a relayed connection may be that of the relay, so a response without length may lack its end.
 test("RelayServer: a relayed response that only the end of its connection completes is incomplete", async () => {
-    answer = socket => socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello");
+    answer = socket => void socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello");
     const connections = createConnections(() => undefined);
     assert.match(await send(connections), /^hello, then /);
     connections.dispose();
@@ -113,6 +119,20 @@
     connections.dispose();
 });
 
+test("RelayServer: the head of each relayed response is reported, also if it comes in parts", async () => {
+    relayedHeads.length = 0;
+    answer = async socket => {
+        socket.write("HTTP/1.1 503 Busy\r\nRetry-Af");
+        await sleep(20);
+        socket.write("ter: 2.5\r\nContent-Length: 22\r\n\r\nHTTP/1.1 200 no head\r\n");
+    };
+    const connections = createConnections(() => undefined);
+    assert.equal(await send(connections), "HTTP/1.1 200 no head\r\n");
+    connections.dispose();
+    const headers = ["Retry-After", "2.5", "Content-Length", "22"];
+    assert.deepEqual(relayedHeads, [{ address: LOST_ADDRESS, status: 503, headers }]);
+});
+
 test("RelayServer: when an upstream wants no requests, idle connections close and those in use do not", async () => {
     for (const isAnswering of [true, false]) {
         let answers = 0;
@@ -128,10 +148,10 @@
         const used = send(connections, 1);
         await sleep(50);
         assert.equal(answers, isAnswering ? 1 : 0);
-        assert.deepEqual([...connections.relaysOf("u 1")], ["e:2"]);
+        assert.equal(await countConnections(), 1);
         refusalReason = "the upstream wants no requests";
         await sleep(600);
-        assert.deepEqual([...connections.relaysOf("u 1")], isAnswering ? [] : ["e:2"]);
+        assert.equal(await countConnections(), isAnswering ? 0 : 1);
         refusalReason = undefined;
         connections.dispose();
         await used;
--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -7,10 +7,12 @@
 import { type Duplex } from "node:stream";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
-import { type Clock, repeat } from "../../common/time/Clock.ts";
+import { type Clock, repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
+import { RelayedHeads } from "./RelayedHeads.ts";
 import { isAuthorized, UPSTREAM_UNREACHABLE_STATUS } from "./RelayProtocol.ts";
+import { type RawResponseHead } from "./UpstreamConnections.ts";
 
 /** Most connections that are relayed at the same time. */
 const MAX_CONNECTIONS = 1000;
@@ -29,6 +31,8 @@
     readonly clock: Clock;
     /** Why no connection to the address can be relayed at the moment; undefined if it can. */
     readonly refusalReason: (address: string) => string | undefined;
+    /** Called with the head of each response that is relayed: for the upstream, it goes to this instance. */
+    readonly onResponse: (address: string, head: RawResponseHead) => void;
     /** Opens a direct connection to an upstream. */
     readonly dial: (address: string) => Promise<Socket>;
 }
@@ -46,12 +50,13 @@
 export class RelayServer extends DisposableOwner {
     private readonly deps: RelayServerDependencies;
     private readonly connections = new Set<RelayedConnection>();
+    private readonly checks: WakefulRepeat;
     private server: Server | undefined;
 
     public constructor(deps: RelayServerDependencies) {
         super();
         this.deps = deps;
-        this.register(repeat(deps.clock, IDLE_CHECK_PERIOD_MS, () => this.closeUnwanted()));
+        this.checks = this.register(repeatWhileBusy(deps.clock, IDLE_CHECK_PERIOD_MS, () => this.closeUnwanted()));
         this.register({ dispose: () => this.close() });
     }
 
@@ -78,8 +83,11 @@
         this.connections.forEach(({ socket }) => socket.destroy());
     }
 
-    /** Closes idle connections that would not be relayed now, so that no later request goes over them. */
-    private closeUnwanted(): void {
+    /**
+     * Closes idle connections that would not be relayed now, so that no later request goes over them. Returns whether
+     * connections are left.
+     */
+    private closeUnwanted(): boolean {
         const { clock, refusalReason } = this.deps;
         const idleSince = clock.monotonic() - IDLE_AFTER_MS;
         for (const { socket, address, isAnswered, usedAt } of this.connections) {
@@ -87,6 +95,7 @@
                 socket.destroy();
             }
         }
+        return this.connections.size > 0;
     }
 
     private async relay(req: IncomingMessage, socket: Duplex, head: Buffer): Promise<void> {
@@ -121,15 +130,23 @@
 
     /** Passes bytes on in both directions. A reset is passed on as a reset: the response before it is incomplete. */
     private connect(socket: Socket, upstream: Socket, address: string): void {
-        const { clock } = this.deps;
+        const { clock, onResponse } = this.deps;
         const connection = { socket, address, isAnswered: true, usedAt: clock.monotonic() };
-        const recordUse = (isAnswered: boolean) => (): void => {
+        const heads = new RelayedHeads(head => onResponse(address, head));
+        const recordUse = (isAnswered: boolean): void => {
             connection.isAnswered = isAnswered;
             connection.usedAt = clock.monotonic();
         };
         this.connections.add(connection);
-        socket.on("data", recordUse(false));
-        upstream.on("data", recordUse(true));
+        this.checks.wake();
+        socket.on("data", () => {
+            recordUse(false);
+            heads.expectHead();
+        });
+        upstream.on("data", (chunk: Buffer) => {
+            recordUse(true);
+            heads.push(chunk);
+        });
         socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
         // The other instance never half-closes: with the end of its connection it has given up the request.
         socket.once("end", () => upstream.destroy());
--- a/src/node/gateway/SilenceWatch.ts
+++ b/src/node/gateway/SilenceWatch.ts
@@ -3,7 +3,7 @@
  * instance has lost its paths and its connections are dead.
  */
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
-import { type Clock, repeat } from "../../common/time/Clock.ts";
+import { type Clock, repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
 
 /** How often the exchanges are checked, in ms. */
 const CHECK_PERIOD_MS = 100;
@@ -29,6 +29,7 @@
     private readonly clock: Clock;
     private readonly onSilence: (address: string) => void;
     private readonly watched = new Set<Watched>();
+    private readonly checks: WakefulRepeat;
     private lastByteAt = -Infinity;
 
     /** @param onSilence called with the address of an upstream that has not responded, again and again */
@@ -36,15 +37,17 @@
         super();
         this.clock = clock;
         this.onSilence = onSilence;
-        this.register(repeat(clock, CHECK_PERIOD_MS, () => this.check()));
+        this.checks = this.register(repeatWhileBusy(clock, CHECK_PERIOD_MS, () => this.check()));
     }
 
     /** Watches an exchange until it is over. */
     public watch(address: string, exchange: WatchedExchange): void {
         this.watched.add({ address, exchange, sentAt: this.clock.monotonic() });
+        this.checks.wake();
     }
 
-    private check(): void {
+    /** Returns whether exchanges are left to watch. */
+    private check(): boolean {
         const now = this.clock.monotonic();
         let silent: Watched | undefined;
         for (const item of this.watched) {
@@ -59,5 +62,6 @@
         if (silent !== undefined && now - this.lastByteAt > SILENCE_MS) {
             this.onSilence(silent.address);
         }
+        return this.watched.size > 0;
     }
 }
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -4,7 +4,7 @@
 import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
 import { connectionsPerInstance, type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
-import { repeat } from "../../common/time/Clock.ts";
+import { repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
 import { Attempt, type AttemptDependencies } from "./Attempt.ts";
 import { type Call, type CallState } from "./RequestRouter.ts";
 import { type UpstreamTransport } from "./UpstreamConnections.ts";
@@ -23,13 +23,15 @@
 export class UpstreamAttempts extends DisposableOwner {
     public readonly deps: UpstreamAttemptsDependencies;
     private readonly active = new Set<Attempt>();
+    private readonly checks: WakefulRepeat;
 
     public constructor(deps: UpstreamAttemptsDependencies) {
         super();
         this.deps = deps;
-        this.register(
-            repeat(deps.clock, CHECK_PERIOD_MS, () => this.active.forEach(attempt => attempt.abortIfStalled())),
-        );
+        this.checks = this.register(repeatWhileBusy(deps.clock, CHECK_PERIOD_MS, () => {
+            this.active.forEach(attempt => attempt.abortIfStalled());
+            return this.active.size > 0;
+        }));
     }
 
     /** Sends a request to the selected upstream. */
@@ -44,6 +46,7 @@
         );
         const attempt = new Attempt(this.deps, call, state, selection, exchange, () => this.active.delete(attempt));
         this.active.add(attempt);
+        this.checks.wake();
         return attempt;
     }
 }
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -60,8 +60,6 @@
     readonly address: string;
     /** Set only while the listeners of an ending connection run. */
     ending: Ending;
-    /** The relay of each open connection that goes through another instance. */
-    readonly relays: Map<Socket, string>;
 }
 
 /** Errors of connections that the upstream closed or reset. */
@@ -216,7 +214,7 @@
 /** Carries requests to upstreams. */
 export type UpstreamTransport = Pick<
     UpstreamConnections,
-    "send" | "probe" | "close" | "dispose" | "arePathsLost" | "relaysOf"
+    "send" | "probe" | "close" | "dispose" | "arePathsLost"
 >;
 
 /** Result of a connection attempt: `refused` if nothing listens there, `unanswered` if that isn't known. */
@@ -304,11 +302,6 @@
         entry?.pool.close().catch(ignore);
     }
 
-    /** Ids of the instances through which connections to an upstream process go. */
-    public relaysOf(name: string): ReadonlySet<string> {
-        return new Set(this.pools.get(name)?.relays.values());
-    }
-
     private async probeOnce(address: string): Promise<ProbeResult> {
         try {
             (await this.paths.dial(address)).connection.destroy();
@@ -340,10 +333,6 @@
             connect: (...[, callback]) =>
                 void this.paths.dial(address).then(({ connection, relay }) => {
                     trackSocketEnd(connection, entry, relay !== undefined);
-                    if (relay !== undefined) {
-                        entry.relays.set(connection, relay);
-                        connection.once("close", () => entry.relays.delete(connection));
-                    }
                     // eslint-disable-next-line no-restricted-syntax -- undici's callback takes null
                     callback(null, connection);
                     // eslint-disable-next-line no-restricted-syntax -- the same
@@ -352,7 +341,7 @@
             keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
         });
-        const entry: PoolEntry = { pool, address, ending: undefined, relays: new Map() };
+        const entry: PoolEntry = { pool, address, ending: undefined };
         this.pools.set(name, entry);
         return entry;
     }
--- a/src/node/gateway/UpstreamNotices.ts
+++ b/src/node/gateway/UpstreamNotices.ts
@@ -1,29 +1,23 @@
 /**
  * Notices of upstreams, given in their responses: an upstream is leaving, limits its requests, or wants none from this
- * instance for a while. For an upstream, a request that another instance relayed comes from that one, which can't read
- * the response; it is told.
+ * instance for a while. For an upstream, the requests that this instance relays for others come from this one.
  */
 import { type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
 import { UpstreamPauses } from "../../common/gateway/UpstreamPauses.ts";
 import { UpstreamStatements } from "../../common/gateway/UpstreamStatements.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
-import { type PeerRequest } from "../../common/peers/PeerCalls.ts";
-import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
 
-/** Time in which a relay must reply to a notice, in ms. */
-const NOTICE_TIMEOUT_MS = 500;
 /** How often statements that no longer hold are removed, in ms. */
 const EVICTION_PERIOD_MS = 5000;
 
 /** Dependencies of the notices. */
 export interface UpstreamNoticesDependencies {
     readonly clock: Clock;
-    readonly network: PeerNetwork;
+    /** Id of this instance. */
+    readonly self: string;
     readonly log: Log;
-    /** Ids of the instances through which connections to an upstream process go. */
-    readonly relaysOf: (upstream: string) => Iterable<string>;
 }
 
 /** Notices that hold for this instance. */
@@ -35,13 +29,9 @@
     public constructor(deps: UpstreamNoticesDependencies) {
         super();
         this.deps = deps;
-        const { clock, network } = deps;
+        const { clock, self } = deps;
         this.statements = new UpstreamStatements(clock);
-        this.pauses = new UpstreamPauses(clock, network.self);
-        this.register(network.handle("noteUpstream", notice => {
-            this.apply(notice);
-            return {};
-        }));
+        this.pauses = new UpstreamPauses(clock, self);
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => this.statements.evictStale()));
     }
 
@@ -55,16 +45,10 @@
 
     /** Records a response of an upstream process to this instance. */
     public record(upstream: string, head: ResponseHead): void {
-        const { log, relaysOf } = this.deps;
-        const { isLeaving, pauseMs, requestLimit: perSecond } = head;
-        if (isLeaving || pauseMs !== undefined) {
-            const notice = { upstream, isLeaving, pauseMs };
-            this.apply(notice);
-            for (const relay of relaysOf(upstream)) {
-                void this.tell(relay, notice);
-            }
-        }
-        else if (!head.isNotRun) {
+        const { log } = this.deps;
+        const { isLeaving, requestLimit: perSecond } = head;
+        this.recordRelayed(upstream, head);
+        if (!head.isNotRun && head.pauseMs === undefined) {
             this.pauses.recordAnswer(upstream);
         }
         if (head.hasInvalidPause) {
@@ -76,7 +60,8 @@
         }
     }
 
-    private apply({ upstream, isLeaving, pauseMs }: PeerRequest<"noteUpstream">): void {
+    /** Records a response of an upstream process that this instance relays. */
+    public recordRelayed(upstream: string, { isLeaving, pauseMs }: ResponseHead): void {
         const { log } = this.deps;
         if (isLeaving && !this.statements.isLeaving(upstream)) {
             log.info("An upstream states that it is leaving.", { upstream });
@@ -89,15 +74,4 @@
             this.pauses.begin(upstream, pauseMs);
         }
     }
-
-    private async tell(relay: string, notice: PeerRequest<"noteUpstream">): Promise<void> {
-        const { network, log } = this.deps;
-        try {
-            network.setAddress(relay, relay);
-            await network.call(relay, "noteUpstream", notice, NOTICE_TIMEOUT_MS);
-        }
-        catch (err) {
-            log.warn("A relay doesn't know what an upstream states.", { relay, reason: (err as Error).message });
-        }
-    }
 }
