--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -77,11 +77,6 @@
     readonly onColdSend: (record: UpstreamRecord, sinceLastMs: number | undefined) => void;
 }
 
-/** What upstreams have stated that keeps requests from them. */
-interface UpstreamHolds extends Pick<UpstreamSelectorDependencies, "isLimitUsedUp" | "isLeaving"> {
-    readonly pauses: Pick<UpstreamPauses, "remainingMs">;
-}
-
 /** Key that identifies one process of an upstream, since an id is reused after a restart. */
 export const processName = (record: UpstreamRecord): string => `${record.id} ${record.start}`;
 
@@ -125,24 +120,24 @@
 
     /** Whether an upstream could take the request now if it did not limit its requests. */
     public isHeldByLimits(req: SelectionRequest): boolean {
-        return this.findUsable(req, { ...this.deps, isLimitUsedUp: () => false }).length > 0;
+        return this.findUsable(req, () => false).length > 0;
     }
 
     /**
-     * Time until an upstream can take the request, in ms, if those that could take it now have asked for a pause;
-     * undefined if there are none.
+     * Time until an upstream can take the request, in ms, if all that are ready for it have asked for a pause; undefined
+     * if there are none, or others are only busy.
      */
     public pauseRemainingMs(req: SelectionRequest): number | undefined {
-        const { pauses } = this.deps;
-        const paused = this.findUsable(req, { ...this.deps, pauses: { remainingMs: () => 0 } });
-        return paused.length === 0 ? undefined : Math.min(...paused.map(({ name }) => pauses.remainingMs(name)));
+        const { pauses, isLeaving } = this.deps;
+        const names = this.findReady(req).map(({ name }) => name).filter(name => !isLeaving(name));
+        const remaining = names.map(name => pauses.remainingMs(name));
+        return remaining.length === 0 || remaining.includes(0) ? undefined : Math.min(...remaining);
     }
 
-    private findUsable(req: SelectionRequest, holds: UpstreamHolds = this.deps): UsableUpstream[] {
-        const { directory, upstreamStats, clock, fleet } = this.deps;
-        const { isLimitUsedUp, isLeaving, pauses } = holds;
+    /** The upstreams that could take the request if they had room. */
+    private findReady(req: SelectionRequest): UsableUpstream[] {
+        const { directory, upstreamStats, fleet } = this.deps;
         const { drainedDomains } = fleet();
-        const now = clock.monotonic();
         const found: UsableUpstream[] = [];
         for (const received of directory.all()) {
             const { record } = received;
@@ -150,20 +145,24 @@
                 continue;
             }
             const name = processName(record);
-            const stats = upstreamStats.statsOf(name);
-            const isAvailable = now >= stats.pausedUntil && !this.isFull(req.service, record, stats)
-                && pauses.remainingMs(name) <= 0 && !isLeaving(name)
-                && !isLimitUsedUp({ name, service: record.service });
-            if (
-                isAvailable && !req.tried.has(name) && !drainedDomains.includes(record.domain)
-                && req.rule.isAllowed(record.version) && this.maySendIfCold(req.service, received, name)
-            ) {
-                found.push({ record, receivedAt: received.receivedAt, name, stats });
+            if (!req.tried.has(name) && !drainedDomains.includes(record.domain) && req.rule.isAllowed(record.version)) {
+                found.push({ record, receivedAt: received.receivedAt, name, stats: upstreamStats.statsOf(name) });
             }
         }
         return found;
     }
 
+    private findUsable(req: SelectionRequest, isLimitUsedUp = this.deps.isLimitUsedUp): UsableUpstream[] {
+        const { clock, isLeaving, pauses } = this.deps;
+        const now = clock.monotonic();
+        return this.findReady(req).filter(upstream => {
+            const { record, name, stats } = upstream;
+            return now >= stats.pausedUntil && pauses.remainingMs(name) <= 0 && !isLeaving(name)
+                && !this.isFull(req.service, record, stats) && !isLimitUsedUp({ name, service: record.service })
+                && this.maySendIfCold(req.service, upstream, name);
+        });
+    }
+
     private isFull(service: Service, record: UpstreamRecord, stats: UpstreamStats): boolean {
         const connections = connectionsPerInstance(service, this.deps.entryCount());
         const slots = Math.max(1, record.slots);
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -69,8 +69,8 @@
     readonly onAnswered: (call: Call) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
-    /** Whether an upstream process has stated, to this instance or another one, that it wants no requests now. */
-    readonly isHeldBack: (upstream: string) => boolean;
+    /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
+    readonly isSpared: (upstream: string) => boolean;
     /** Called for each response of the selected process, with what it states about itself. */
     readonly onStatement: (selection: Selection, head: ResponseHead) => void;
     /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
@@ -148,7 +148,7 @@
         const { deps, selection, call } = this;
         const { record, stats, name } = selection;
         const now = deps.clock.monotonic();
-        if (!this.exchange.isSent && deps.isHeldBack(name)) {
+        if (!this.exchange.isSent && deps.isSpared(name)) {
             this.exchange.abort(`upstream ${name} wants no requests`);
             return;
         }
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -162,7 +162,7 @@
             fleet: () => this.follower.fleet,
             hasLease: () => this.hasLease,
             isQuarantined,
-            isHeldBack: upstream => this.notices.reasonToSpare(upstream) !== undefined,
+            isSpared: upstream => this.notices.reasonToSpare(upstream) !== undefined,
             isSessionPinned: session => this.follower.isSessionPinned(session),
         });
         this.handler = new CallerHandler({
@@ -322,7 +322,7 @@
                 onAnswered: ({ keys }) => this.crashObserver.recordAnswer([keys.request(), ...keys.parts]),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
-                isHeldBack: upstream => this.notices.reasonToSpare(upstream) !== undefined,
+                isSpared: upstream => this.notices.reasonToSpare(upstream) !== undefined,
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onUnanswered: (call, { record }, waitedMs) =>
                     this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -54,10 +54,10 @@
     readonly reply: CallerReply;
 }
 
-/** Why no upstream was selected. */
-interface NoSelection {
+/** Why a request ends without success. */
+interface FinalFailure {
     readonly reason: string;
-    /** Suggested retry delay, in ms; undefined if returning is of no use. */
+    /** Suggested retry delay if the request has not run, in ms; undefined if returning is of no use. */
     readonly retryAfterMs: number | undefined;
 }
 
@@ -88,8 +88,8 @@
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
     readonly isQuarantined: (keys: CallKeys) => boolean;
-    /** Whether an upstream process has stated, to this instance or another one, that it wants no requests now. */
-    readonly isHeldBack: (upstream: string) => boolean;
+    /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
+    readonly isSpared: (upstream: string) => boolean;
     /** Whether another entry instance reports that the session must keep its version. */
     readonly isSessionPinned: (session: string) => boolean;
 }
@@ -163,8 +163,8 @@
     }
 
     /** Picks an upstream. Polls for a while if none can take the request; resolves with the reason if none turns up. */
-    private async select(call: Call, state: CallState): Promise<Selection | NoSelection> {
-        const { clock, selector, fleet, hasLease, permits, isHeldBack } = this.deps;
+    private async select(call: Call, state: CallState): Promise<Selection | FinalFailure> {
+        const { clock, selector, fleet, hasLease, permits, isSpared } = this.deps;
         const { service, req, route } = call;
         let denials = 0;
         const waitUntil = clock.monotonic() + route.objectiveMs * WAIT_FRACTION;
@@ -179,7 +179,7 @@
                     return selection;
                 }
                 // The upstream may have asked for a pause while the permit was under way.
-                if (await permits.take(target) && !isHeldBack(selection.name)) {
+                if (await permits.take(target) && !isSpared(selection.name)) {
                     return selection;
                 }
             }
@@ -187,19 +187,19 @@
                 continue;
             }
             if (selection !== undefined || selector.isHeldByLimits(wanted)) {
-                return refusalOf("the upstreams take no more requests per second");
+                return failureOf("the upstreams take no more requests per second");
             }
             const pauseMs = selector.pauseRemainingMs(wanted);
             if (pauseMs !== undefined && clock.monotonic() + pauseMs > waitUntil) {
                 const spreadMs = hashFraction(req.id) * RETURN_SPREAD_MS;
-                return refusalOf("the upstreams want no requests for a while", pauseMs + spreadMs);
+                return failureOf("the upstreams want no requests for a while", pauseMs + spreadMs);
             }
             if (clock.monotonic() >= waitUntil) {
                 break;
             }
             await sleep(clock, WAIT_POLL_MS);
         }
-        return refusalOf(hasLease() ? "no upstream may take the request" : "cut off from control");
+        return failureOf(hasLease() ? "no upstream may take the request" : "cut off from control");
     }
 
     private getSessionHistory(session: string | undefined, service: Service): SessionHistory {
@@ -246,12 +246,12 @@
         }
         const isExhausted = this.remainingMs(call) <= MIN_ATTEMPT_MS || state.upstreamIds.length >= MAX_SENT_ATTEMPTS;
         if (isExhausted || !this.mayRetry(call, state, failure)) {
-            return this.sendFinalFailure(call, state, refusalOf(failure.message));
+            return this.sendFinalFailure(call, state, failureOf(failure.message));
         }
         const hasBudget = !failure.wasSent || this.deps.budget.tryWithdraw(call.service.name);
         return hasBudget
             ? undefined
-            : this.sendFinalFailure(call, state, refusalOf(`${failure.message}; no repeats are left`));
+            : this.sendFinalFailure(call, state, failureOf(`${failure.message}; no repeats are left`));
     }
 
     private mayRetry(call: Call, state: CallState, failure: AttemptFailure): boolean {
@@ -266,7 +266,7 @@
     }
 
     /** Ends a request that failed: breaks off a begun response, relays the 5xx response, or sends an error. */
-    private sendFinalFailure(call: Call, state: CallState, { reason, retryAfterMs }: NoSelection): CallResult {
+    private sendFinalFailure(call: Call, state: CallState, { reason, retryAfterMs }: FinalFailure): CallResult {
         const { reply, req } = call;
         const { codec } = this.deps;
         if (reply.hasBegun) {
@@ -309,4 +309,4 @@
     }
 }
 
-const refusalOf = (reason: string, retryAfterMs = RETRY_AFTER_MS): NoSelection => ({ reason, retryAfterMs });
+const failureOf = (reason: string, retryAfterMs = RETRY_AFTER_MS): FinalFailure => ({ reason, retryAfterMs });
--- a/src/node/http/undici-pool.d.ts
+++ b/src/node/http/undici-pool.d.ts
@@ -1,5 +1,5 @@
 /**
- * The pool alone, without the rest of `undici` (fetch, WebSocket, caches), which takes 0.05 s of processor time to load.
+ * The pool alone. The main module of `undici` also loads fetch, WebSocket and caches, which gateway processes don't use.
  */
 declare module "undici/lib/dispatcher/pool.js" {
     import { Pool } from "undici";
--- a/tools/Build.ts
+++ b/tools/Build.ts
@@ -1,6 +1,6 @@
 /**
  * Builds the executable: bundles the program into CommonJS files and injects them into a copy of the Node.js binary. The
- * command line is a bundle of its own, because a gateway process would need a third of its start to compile it.
+ * command line is a bundle of its own, so that a gateway process doesn't hold it in memory.
  */
 import { build, type BuildOptions, type Plugin } from "esbuild";
 import { execFileSync } from "node:child_process";
