--- a/src/common/gateway/UpstreamStatements.test.ts
+++ b/src/common/gateway/UpstreamStatements.test.ts
@@ -43,3 +43,11 @@
     own.merge({ upstream: "u 1", ageMs: 1000 });
     assert.deepEqual([own.limitOf("u 1"), own.isLeaving("u 1")], [3, true]);
 });
+
+test("UpstreamStatements: the word that an upstream leaves, from an instance that knows no limit, leaves the limit in force", () => {
+    const { own, other } = create();
+    own.recordResponse("u 1", 3, false);
+    other.recordLeaving("u 1");
+    passOn(other, own);
+    assert.deepEqual([own.limitOf("u 1"), own.isLeaving("u 1")], [3, true]);
+});
--- a/src/common/gateway/UpstreamStatements.ts
+++ b/src/common/gateway/UpstreamStatements.ts
@@ -101,8 +101,10 @@
     /** Records that a response, which this instance got or relayed, states that the upstream is leaving. */
     public recordLeaving(upstream: string): void {
         const now = this.clock.monotonic();
+        // Nothing is known of a limit, which is passed on as a statement older than any that holds.
+        const statedAt = now - RETENTION_MS;
         const known = this.statements.get(upstream)
-            ?? { perSecond: undefined, statedAt: now, change: 0, announcedAt: now, announcedLeavingAt: undefined };
+            ?? { perSecond: undefined, statedAt, change: 0, announcedAt: statedAt, announcedLeavingAt: undefined };
         this.put(upstream, { ...known, leavingAt: now, isLeavingSeen: true }, false);
     }
 
