--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -109,9 +109,7 @@
         this.sessions = new SessionVersions(clock, settings.bounds.session_s * MS_PER_SECOND + SESSION_MARGIN_MS);
         this.upstreamStats = new UpstreamStatistics(clock);
         this.crashObserver = new CrashObserver(clock);
-        this.notices = this.register(
-            new UpstreamNotices({ clock, self: network.self, log }),
-        );
+        this.notices = this.register(new UpstreamNotices({ clock, self: network.self, log }));
         const { statements } = this.notices;
         this.permitIssuer = new RatePermitIssuer(clock, statements);
         this.follower = this.register(
@@ -162,7 +160,7 @@
             fleet: () => this.follower.fleet,
             hasLease: () => this.hasLease,
             isQuarantined,
-            isSpared: upstream => this.notices.reasonToSpare(upstream) !== undefined,
+            isSpared: this.notices.isSpared,
             isSessionPinned: session => this.follower.isSessionPinned(session),
         });
         this.handler = new CallerHandler({
@@ -322,7 +320,7 @@
                 onAnswered: ({ keys }) => this.crashObserver.recordAnswer([keys.request(), ...keys.parts]),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
-                isSpared: upstream => this.notices.reasonToSpare(upstream) !== undefined,
+                isSpared: this.notices.isSpared,
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onUnanswered: (call, { record }, waitedMs) =>
                     this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
--- a/src/node/gateway/UpstreamNotices.ts
+++ b/src/node/gateway/UpstreamNotices.ts
@@ -43,6 +43,9 @@
         return this.pauses.isPaused(upstream) ? "the upstream wants no requests for a while" : undefined;
     }
 
+    /** Whether an upstream process must not get requests now. */
+    public readonly isSpared = (upstream: string): boolean => this.reasonToSpare(upstream) !== undefined;
+
     /** Records a response of an upstream process to this instance. */
     public record(upstream: string, head: ResponseHead): void {
         const { log } = this.deps;
