Control instances log which configuration a read showed, and which proof it relied on

The record of the stale read can't tell apart a proof of the control log from one of a watch call, nor what was shown. Each answered read logs revision, version and the age of both proofs. The role takes any LogStore, so that simulations can run it.

--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -4,6 +4,7 @@
  */
 import { ControlClient } from "../../common/control/ControlClient.ts";
 import { ControlLog } from "../../common/control/ControlLog.ts";
+import { type LogStore } from "../../common/control/LogStore.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
@@ -18,7 +19,6 @@
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
-import { type FileLogStore } from "../storage/FileLogStore.ts";
 import { logReachability } from "./ReachabilityLog.ts";
 
 /** Time within which a change must be committed; after it the sender is told to retry, in ms. */
@@ -42,7 +42,7 @@
 export interface GatewayControlRoleDependencies {
     readonly clock: Clock;
     readonly network: PeerNetwork;
-    readonly store: FileLogStore;
+    readonly store: LogStore;
     readonly log: Log;
     /** Ids of the control instances to contact first; the initial voters at bootstrap. */
     readonly seeds: readonly string[];
@@ -213,6 +213,13 @@
                 retryAfterMs: READ_LEASE_MS,
             });
         }
+        const { revision, configVersion } = this.fleet;
+        this.deps.log.info("The fleet is read.", {
+            revision,
+            version: configVersion,
+            logProofAgeMs: Math.round(this.controlLog.confirmationAgeMs),
+            watchProofAgeMs: Math.round(this.follower.confirmationAgeMs),
+        });
         return this.fleet;
     }
 
