A new leader proves to others that they are current only once it knows how far the log is committed

Seen: control instances in touch with a new leader answer reads with a replaced configuration for as long as the leader can't commit, as with a stalled disk. Cause: a leader counts itself as current only after an entry of its term is committed, but it told the others the age of its majority without that condition, and kept it when it stepped down. Change: one place, Replicator.confirmedAt, says since when a leader's log is known to be complete; messages, the own reads and the step down use it.

--- a/src/common/configuration/ConfigurationFollower.ts
+++ b/src/common/configuration/ConfigurationFollower.ts
@@ -3,6 +3,7 @@
  * when no control instance answers; the revision never decreases. Replies carry the age of the newest quorum
  * confirmation, so that an instance can tell when it is cut off from control.
  */
+import { NEVER_CONFIRMED_MS } from "../control/ControlTypes.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { Emitter } from "../lifecycle/Emitter.ts";
 import { type Membership } from "../membership/Membership.ts";
@@ -175,6 +176,3 @@
         }
     }
 }
-
-/** Age that is sent when there never was a quorum confirmation, in ms. */
-const NEVER_CONFIRMED_MS = 1e12;
--- a/src/common/control/ControlLog.test.ts
+++ b/src/common/control/ControlLog.test.ts
@@ -335,7 +335,7 @@
     assert.ok(reader.confirmationAgeMs > 3000, `the confirmation is ${reader.confirmationAgeMs} ms old`);
 });
 
-test("a new leader proves nothing to others before an entry of its term is committed", { todo: true }, async () => {
+test("a new leader proves nothing to others before an entry of its term is committed", async () => {
     const cluster = new Cluster(7);
     IDS.forEach(id => cluster.start(id));
     const old = await cluster.untilLeader();
--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -49,12 +49,7 @@
      */
     public get confirmationAgeMs(): number {
         const { voter } = this;
-        if (voter.role !== "leader") {
-            return voter.now - voter.quorumConfirmedAt;
-        }
-        // Until an entry of its term is committed, a leader does not know how far the log is committed.
-        const hasCommittedInTerm = voter.log.termAt(voter.commitIndex) === voter.term;
-        return hasCommittedInTerm ? voter.now - this.replicator.majorityAckedAt() : Infinity;
+        return voter.now - (voter.role === "leader" ? this.replicator.confirmedAt : voter.quorumConfirmedAt);
     }
 
     /** Loads the stored log, then takes part in elections and replication. */
@@ -133,7 +128,7 @@
     private checkLease(): void {
         const { voter } = this;
         if (voter.role === "leader" && this.replicator.hasLostMajority) {
-            voter.quorumConfirmedAt = this.replicator.majorityAckedAt();
+            voter.quorumConfirmedAt = Math.max(voter.quorumConfirmedAt, this.replicator.confirmedAt);
             voter.setRole("follower", undefined);
             this.elector?.resetElectionTimer();
             this.replicator.wakeTasks();
--- a/src/common/control/ControlTypes.ts
+++ b/src/common/control/ControlTypes.ts
@@ -19,6 +19,9 @@
 /** Time limit for a peer to install a snapshot, in ms. */
 export const SNAPSHOT_TIMEOUT_MS = 5000;
 
+/** Age of a confirmation that is sent when there never was one, in ms: JSON and CBOR schemas have no Infinity. */
+export const NEVER_CONFIRMED_MS = 1e12;
+
 /** Role of a voter. */
 export type ControlRole = "follower" | "candidate" | "leader";
 
--- a/src/common/control/Replicator.ts
+++ b/src/common/control/Replicator.ts
@@ -8,6 +8,7 @@
     HEARTBEAT_MS,
     LEADER_LEASE_MS,
     majorityOf,
+    NEVER_CONFIRMED_MS,
     noMajorityError,
     SNAPSHOT_TIMEOUT_MS,
 } from "./ControlTypes.ts";
@@ -95,7 +96,7 @@
     }
 
     /** Monotonic time up to which a majority is known to have followed this leader, in ms; -Infinity if none is. */
-    public majorityAckedAt(): number {
+    private majorityAckedAt(): number {
         const { voter } = this;
         const times = voter.log.voters.map(other =>
             other === voter.self ? voter.now : this.progress.get(other)?.ackedAt ?? -Infinity
@@ -103,6 +104,16 @@
         return times.sort((a, b) => b - a)[majorityOf(times.length) - 1] ?? -Infinity;
     }
 
+    /**
+     * Monotonic time at which this leader's log was known to hold all that was committed, in ms. -Infinity until an
+     * entry of its term is committed: it does not know before how far the log is.
+     */
+    public get confirmedAt(): number {
+        const { voter } = this;
+        const hasCommittedInTerm = voter.log.termAt(voter.commitIndex) === voter.term;
+        return hasCommittedInTerm ? this.majorityAckedAt() : -Infinity;
+    }
+
     /** Wakes the replication tasks, so that they end when this voter is no longer the leader. */
     public wakeTasks(): void {
         this.taskSignal.fire();
@@ -179,7 +190,7 @@
             prevTerm: voter.log.termAt(prevIndex) ?? 0,
             entries: voter.log.between(progress.nextIndex, prevIndex + MAX_BATCH_ENTRIES),
             commitIndex: voter.commitIndex,
-            contactAgeMs: voter.now - this.majorityAckedAt(),
+            contactAgeMs: Math.min(NEVER_CONFIRMED_MS, voter.now - this.confirmedAt),
         };
         const reply = await voter.deps.network.call(peer, "appendEntries", req, CALL_TIMEOUT_MS);
         this.updateProgress(progress, reply);
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -2,6 +2,7 @@
  * Serves the followers of a control instance by long polling: a call is held until there is an urgent change, or until
  * enough time has passed to send the other changes as one batch.
  */
+import { NEVER_CONFIRMED_MS } from "../control/ControlTypes.ts";
 import { Signal } from "../control/Signal.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
@@ -24,8 +25,6 @@
 const EVALUATION_PERIOD_MS = 200;
 /** Confirmation age above which this instance may lack reports of entry instances, and blames no request, in ms. */
 const MAX_VERDICT_AGE_MS = 2500;
-/** Largest confirmation age that is sent, in ms. It replaces Infinity. */
-const MAX_AGE_MS = 1e9;
 
 /** Dependencies of a publisher. */
 export interface FleetPublisherDependencies {
@@ -171,7 +170,7 @@
             epoch,
             version: directory.version,
             revision: fleet().revision,
-            proofAgeMs: Math.min(MAX_AGE_MS, confirmationAgeMs()),
+            proofAgeMs: Math.min(NEVER_CONFIRMED_MS, confirmationAgeMs()),
             records: records.map(({ record, receivedAt }) => ({ record, ageMs: now - receivedAt })),
             renewals: heartbeats.map((
                 { id, start, seq, receivedAt },
