A slot request that was overtaken by later ones doesn't free slots that its holder still uses

Found while looking for the cause of the stale read elsewhere: who relies on a message that may have been held up? Seen: in the new test, an owner lends 14 slots of an upstream that has 10. Cause: a request says how much of the applied grant its holder still uses. One that was held up on its way, and came after later ones on another connection, told the use of an older, smaller grant. Change: a request from before the newest applied grant that the owner knows of changes nothing.

--- a/src/common/slots/SlotAllocator.test.ts
+++ b/src/common/slots/SlotAllocator.test.ts
@@ -50,6 +50,19 @@
     return { clock, registry, announce, request, advance };
 };
 
+test("a slot request that was held up frees no slots that the holder still uses", () => {
+    const { clock, announce, request } = setUp(0);
+    clock.advance(OWNER_HANDOVER_MS + 100);
+    announce();
+    const first = request("i1", 2);
+    const second = request("i1", 10, 0, first.seq, 2);
+    const third = request("i1", 6, 0, second.seq, 10);
+    assert.deepEqual([first.granted, second.granted, third.granted], [2, 10, 6]);
+    // Sent after the first grant, and overtaken by the others on another connection.
+    request("i1", 2, 0, first.seq, 2);
+    assert.equal(request("i2", 10).granted, 0, "i1 may still use the 10 slots of its second grant");
+});
+
 test("slots of an upstream that is announced after the handover are granted at once", () => {
     const { clock, announce, request } = setUp(0);
     clock.advance(OWNER_HANDOVER_MS + 100);
--- a/src/common/slots/SlotAllocator.ts
+++ b/src/common/slots/SlotAllocator.ts
@@ -38,6 +38,8 @@
     seq: number;
     /** Grants that the holder has not applied yet. */
     grants: Grant[];
+    /** Sequence number of the newest grant that the holder has applied. */
+    applied: number;
     /** Slots of the applied grant that the holder may use. */
     usable: number;
     usableUntil: number;
@@ -245,6 +247,11 @@
 
 const updateLease = (allocation: UpstreamAllocation, holder: string, req: SlotRequest, now: number): Lease => {
     const lease = allocation.leases.get(holder) ?? newLease(req.applied, now);
+    if (req.applied < lease.applied) {
+        // A later request has overtaken this one, which was held up.
+        return lease;
+    }
+    lease.applied = req.applied;
     lease.seq = Math.max(lease.seq, req.applied);
     // The holder ignores grants that are older than the one it has applied.
     lease.grants = lease.grants.filter(grant => grant.seq > req.applied && now < grant.expiresAt);
@@ -266,6 +273,7 @@
 const newLease = (seq: number, now: number): Lease => ({
     seq,
     grants: [],
+    applied: seq,
     usable: 0,
     usableUntil: now,
     hintedAt: -Infinity,
