An order to drain a domain or to take it back doesn't undo a later order any more when it was held up

Cause: the leader accepts whatever arrives, however old. Changes of the configuration have versions, roll-outs are final; these two orders have nothing that tells the older one. Change: the order carries the revision that the control instance knew when it received it; the leader rejects it if the drained domains have changed since and the order would change them. The check is the leader's, before the command is in the log, so that builds apply the same log alike. Ruled out: a limit of age by receipts, as an older order could still pass within it; a check when the command is applied, as earlier builds would apply what this one leaves out. Open: orders to drain of the product's own interface (ControlState) have the same fault; an order that waits in the socket of a frozen control instance is rejected only if that instance has not yet learned of the later one.

--- a/src/common/control/ControlClient.ts
+++ b/src/common/control/ControlClient.ts
@@ -2,7 +2,7 @@
  * Submits commands to the leader of the control log from any instance. Commands are idempotent, so a command
  * whose reply was lost is sent again.
  */
-import { type RouterError, toRouterError } from "../errors/RouterError.ts";
+import { type ErrorCode, type RouterError, toRouterError } from "../errors/RouterError.ts";
 import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { type Clock, sleep } from "../time/Clock.ts";
 import { type ControlLog } from "./ControlLog.ts";
@@ -14,6 +14,9 @@
 /** Pause between two attempts, in ms. */
 const RETRY_PAUSE_MS = 100;
 
+/** Codes of errors that a repeat of the same command would meet again. */
+const finalErrors: ReadonlySet<ErrorCode> = new Set<ErrorCode>(["malformedRequest", "sheetOutdated"]);
+
 /** Sends commands to the last known leader, or to the possible voters in turn while the leader is unknown. */
 export class ControlClient {
     private readonly clock: Clock;
@@ -37,7 +40,7 @@
 
     /**
      * Resolves when the command is committed. Rejects with `noMajority` after `timeoutMs`; its `run` is
-     * "not_run" only when no attempt can still take effect. A `malformedRequest` is not retried.
+     * "not_run" only when no attempt can still take effect. `malformedRequest` and `sheetOutdated` are not retried.
      */
     public async submit(command: Command, timeoutMs: number): Promise<Committed> {
         const deadline = this.clock.monotonic() + timeoutMs;
@@ -56,7 +59,7 @@
             }
             catch (err) {
                 lastError = toRouterError(err, { code: "noMajority", run: "unknown", step: "propose", peer: target });
-                if (lastError.code === "malformedRequest") {
+                if (finalErrors.has(lastError.code)) {
                     throw lastError;
                 }
                 mayTakeEffect ||= lastError.run !== "not_run";
--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -68,7 +68,8 @@
 
     /**
      * Resolves when the command is committed and applied. Rejects with `noMajority`; its `run` tells whether the
-     * command can still take effect. A change of voters that is not allowed is rejected with `malformedRequest`.
+     * command can still take effect. A change of voters that is not allowed is rejected with `malformedRequest`, and a
+     * command that a later one has replaced with `sheetOutdated`.
      */
     public async propose(command: Command): Promise<Committed> {
         const { voter } = this;
@@ -78,6 +79,9 @@
         if (command["kind"] === VOTERS_COMMAND) {
             return this.changeVoters(command["voters"] as string[]);
         }
+        if (voter.deps.stateMachine.isOutdated?.(command) === true) {
+            throw routerError("a later change has replaced this one", { code: "sheetOutdated", step: "propose" });
+        }
         return this.append(command);
     }
 
--- a/src/common/control/LogStore.ts
+++ b/src/common/control/LogStore.ts
@@ -48,6 +48,8 @@
 export interface StateMachine {
     /** Applies a committed command and returns its result. */
     apply(command: Command, index: number): Record<string, unknown>;
+    /** Whether the leader must not accept the command, because what it would change was changed after it was given. */
+    isOutdated?(command: Command): boolean;
     /** Returns the whole state, in the form that `restore` accepts. */
     snapshot(): Record<string, unknown>;
     /** Replaces the whole state. */
--- a/src/common/gateway/FleetState.test.ts
+++ b/src/common/gateway/FleetState.test.ts
@@ -40,3 +40,21 @@
     other.restore({});
     assert.deepEqual(other.fleet, emptyFleet);
 });
+
+test("FleetState: an order given before the drained domains changed is outdated, unless it changes nothing", () => {
+    const state = new FleetState();
+    const drain = { kind: "drainDomain", domain: "d" };
+    const restore = { kind: "restoreDomain", domain: "d" };
+    state.apply(drain, 5);
+    assert.equal(state.isOutdated({ ...restore, knownRevision: 4 }), true);
+    assert.equal(state.isOutdated({ ...restore, knownRevision: 5 }), false);
+    assert.equal(state.isOutdated({ ...drain, knownRevision: 4 }), false);
+    // Builds that don't send what they knew.
+    assert.equal(state.isOutdated(restore), false);
+    state.apply({ kind: "declare", version: 1, text: "one" }, 6);
+    assert.equal(state.isOutdated({ ...restore, knownRevision: 5 }), false);
+    const restored = new FleetState();
+    restored.restore(state.snapshot());
+    assert.equal(restored.isOutdated({ ...restore, knownRevision: 5 }), true);
+    assert.equal(restored.isOutdated({ ...restore, knownRevision: 6 }), false);
+});
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -37,6 +37,12 @@
 /** The replicated state that every instance follows. */
 export type Fleet = z.infer<typeof fleetSchema>;
 
+/**
+ * Revision that the control instance knew when it received the order. An order that is held up on its way to the
+ * leader must not undo a later one. Undefined from builds that don't send it.
+ */
+const knownRevisionSchema = z.number().optional();
+
 const commandSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("declare"), version: z.number(), text: z.string() }),
     z.object({
@@ -53,8 +59,8 @@
         state: rolloutSchema.shape.state,
         share: z.number(),
     }),
-    z.object({ kind: z.literal("drainDomain"), domain: z.string() }),
-    z.object({ kind: z.literal("restoreDomain"), domain: z.string() }),
+    z.object({ kind: z.literal("drainDomain"), domain: z.string(), knownRevision: knownRevisionSchema }),
+    z.object({ kind: z.literal("restoreDomain"), domain: z.string(), knownRevision: knownRevisionSchema }),
 ]);
 
 /** A change requested by an operator or by the leader. Commands are idempotent. */
@@ -71,6 +77,8 @@
 /** Applies the committed commands of the control log. */
 export class FleetState implements StateMachine {
     private current: Fleet = emptyFleet;
+    /** Revision at which the drained domains last changed, or a later one. */
+    private drainedDomainsRevision = 0;
     private readonly changed = new Emitter<Fleet>();
 
     public readonly onChanged = this.changed.event;
@@ -87,18 +95,32 @@
         }
         const next = applyCommand(this.current, parsed.data);
         if (next !== this.current) {
+            if (next.drainedDomains !== this.current.drainedDomains) {
+                this.drainedDomainsRevision = index;
+            }
             this.current = { ...next, revision: index };
             this.changed.fire(this.current);
         }
         return { revision: this.current.revision };
     }
 
+    public isOutdated(command: Command): boolean {
+        const { data } = commandSchema.safeParse(command);
+        if (data?.kind !== "drainDomain" && data?.kind !== "restoreDomain") {
+            return false;
+        }
+        const { knownRevision = Infinity } = data;
+        // An order that changes nothing is accepted again, as its first confirmation may have been lost.
+        return knownRevision < this.drainedDomainsRevision && applyCommand(this.current, data) !== this.current;
+    }
+
     public snapshot(): Record<string, unknown> {
         return { ...this.current };
     }
 
     public restore(state: Record<string, unknown>): void {
         this.current = fleetSchema.parse({ ...emptyFleet, ...state });
+        this.drainedDomainsRevision = this.current.revision;
         this.changed.fire(this.current);
     }
 }
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -193,8 +193,9 @@
     public async submitChange(command: FleetCommand): Promise<void> {
         const startedAt = this.deps.clock.monotonic();
         const details = { kind: command.kind, ...describeCommand(command) };
+        const knownRevision = this.fleet.revision;
         try {
-            const { index } = await this.client.submit(command, SUBMIT_TIMEOUT_MS);
+            const { index } = await this.client.submit({ ...command, knownRevision }, SUBMIT_TIMEOUT_MS);
             const ms = Math.round(this.deps.clock.monotonic() - startedAt);
             this.deps.log.info("A change is committed.", { ...details, index, ms });
         }
