A reply that a process reads after its time limit is lost, also if the process was frozen meanwhile

Found while looking for the cause of the stale read elsewhere. Rate permits, the reachability of control instances and the roster count from the arrival of a reply, which the time limit of the call was to bound. Cause: only a timer enforces the limit. After a freeze the event loop reads sockets before timers, so that a permit from seconds ago was used. Change: the reply is compared with the limit by the clock.

--- a/src/node/peers/PeerLink.ts
+++ b/src/node/peers/PeerLink.ts
@@ -74,13 +74,19 @@
     public call<K extends PeerCallName>(name: K, req: PeerRequest<K>, timeoutMs: number): Promise<PeerReply<K>> {
         return new Promise((resolve, reject) => {
             const id = ++this.lastCallId;
+            const onLate = (): void =>
+                reject(this.callError(name, `no reply from ${this.peer} within ${Math.round(timeoutMs)} ms`));
             const timer = this.clock.schedule(timeoutMs, () => {
                 if (this.pending.delete(id)) {
-                    reject(this.callError(name, `no reply from ${this.peer} within ${Math.round(timeoutMs)} ms`));
+                    onLate();
                     this.closeIfSilent();
                 }
             });
-            this.pending.set(id, { name, timer, resolve: resolve as (reply: unknown) => void, reject });
+            const deadlineAt = this.clock.monotonic() + timeoutMs;
+            // After a freeze of this process, a reply may be read before the timer fires.
+            const onReply = (reply: unknown): void =>
+                this.clock.monotonic() > deadlineAt ? onLate() : resolve(reply as PeerReply<K>);
+            this.pending.set(id, { name, timer, resolve: onReply, reject });
             this.connect().then(connection => this.send(connection, { id, name, req }), (err: unknown) => {
                 this.settle(id, pending => {
                     const details = { code: "internal", run: "not_run", step: name, peer: this.peer } as const;
