A late answer of an engine that asks for a pause counts, whichever request it belongs to

Cause: an answer with another request's id, which came late on a connection in use again, was dropped with all that it states, so that nobody knew of the pause. Change: what it asks of this instance, a pause or that the engine leaves, is recorded; limits aren't, as a late one may be outdated. Answers of another process at the address (421) still count for nothing. The issuer of rate permits registers its own calls, which the role did for it.

--- a/src/common/gateway/RatePermitIssuer.ts
+++ b/src/common/gateway/RatePermitIssuer.ts
@@ -3,6 +3,8 @@
  * refusals. For each upstream, all entry instances ask the same one (`RatePermits`). Its token bucket keeps to the limit;
  * for a brittle upstream, it finds the rate at which hardly a request is refused.
  */
+import { type Disposable, toDisposable } from "../lifecycle/Disposable.ts";
+import { type PeerNetwork } from "../peers/PeerNetwork.ts";
 import { type Clock } from "../time/Clock.ts";
 import { AdaptiveRate } from "./AdaptiveRate.ts";
 import { type UpstreamStatement, type UpstreamStatements } from "./UpstreamStatements.ts";
@@ -49,6 +51,18 @@
         this.limits = limits;
     }
 
+    /** Answers the calls of other instances. */
+    public serve(network: PeerNetwork): Disposable {
+        const handlers = [
+            network.handle("issueRatePermit", req => this.issue(req)),
+            network.handle("reportRefusal", ({ upstream }) => {
+                this.recordRefusal(upstream);
+                return {};
+            }),
+        ];
+        return toDisposable(() => handlers.forEach(handler => handler.dispose()));
+    }
+
     /** Takes a permit if there is one. The request holds what the asking instance knows of the upstream. */
     public issue({ upstream, limit, isBrittle }: RatePermitRequest): RatePermitReply {
         if (limit !== undefined) {
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -71,8 +71,10 @@
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
     /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
     readonly isSpared: (upstream: string) => boolean;
-    /** Called for each response of the selected process, with what it states about itself. */
+    /** Called for each response of the selected process to its request, with what it states about itself. */
     readonly onStatement: (selection: Selection, head: ResponseHead) => void;
+    /** Called for a response of that process to an earlier request, which came on the connection in use again. */
+    readonly onLateStatement: (selection: Selection, head: ResponseHead) => void;
     /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
     readonly onUnanswered: (call: Call, selection: Selection, waitedMs: number) => void;
     /** Called once for a stream with enough events, with the median time between its first ones. */
@@ -231,10 +233,12 @@
         return isStream ? this.relayStream(head) : this.relayBuffered(head);
     }
 
-    /** Only from responses of the selected process: another one may answer at its address. */
+    /** Only from responses of the selected process: another one may answer at its address, with status 421. */
     private reportStatement(head: ResponseHead): void {
-        if (head.requestId === this.call.req.id && head.status !== 421) {
-            this.deps.onStatement(this.selection, head);
+        const { deps: { onStatement, onLateStatement }, selection, call } = this;
+        if (head.status !== 421) {
+            const report = head.requestId === call.req.id ? onStatement : onLateStatement;
+            report(selection, head);
         }
     }
 
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -327,6 +327,7 @@
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
                 isSpared: this.notices.isSpared,
                 onStatement: (selection, head) => this.recordStatement(selection, head),
+                onLateStatement: ({ name }, head) => this.notices.recordNotice(name, head),
                 onUnanswered: (call, { record }, waitedMs) =>
                     this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
                 onPace: (call, { record }, paceMs) =>
@@ -348,7 +349,7 @@
     public recordRelayedResponse(address: string, { status, headers }: RawResponseHead): void {
         const record = this.directory.recordAt(address);
         if (record !== undefined && status !== 421) {
-            this.notices.recordRelayed(processName(record), this.deps.codec.readHead(status, headers));
+            this.notices.recordNotice(processName(record), this.deps.codec.readHead(status, headers));
         }
     }
 
@@ -398,11 +399,7 @@
             this.directory.evictStale();
             this.permitIssuer.evictIdle();
         }));
-        this.register(network.handle("issueRatePermit", req => this.permitIssuer.issue(req)));
-        this.register(network.handle("reportRefusal", ({ upstream }) => {
-            this.permitIssuer.recordRefusal(upstream);
-            return {};
-        }));
+        this.register(this.permitIssuer.serve(network));
         this.register(repeat(clock, EVICTION_PERIOD_MS / 20, () => this.logLeaseChange()));
     }
 
--- a/src/node/gateway/UpstreamNotices.ts
+++ b/src/node/gateway/UpstreamNotices.ts
@@ -50,7 +50,7 @@
     public record(upstream: string, head: ResponseHead): void {
         const { log } = this.deps;
         const { isLeaving, requestLimit: perSecond } = head;
-        this.recordRelayed(upstream, head);
+        this.recordNotice(upstream, head);
         if (!head.isNotRun && head.pauseMs === undefined) {
             this.pauses.recordAnswer(upstream);
         }
@@ -63,8 +63,10 @@
         }
     }
 
-    /** Records a response of an upstream process that this instance relays. */
-    public recordRelayed(upstream: string, { isLeaving, pauseMs }: ResponseHead): void {
+    /**
+     * Records what any response of an upstream process asks of this instance, also one that it relays or that came late.
+     */
+    public recordNotice(upstream: string, { isLeaving, pauseMs }: ResponseHead): void {
         const { log } = this.deps;
         if (isLeaving && !this.statements.isLeaving(upstream)) {
             log.info("An upstream states that it is leaving.", { upstream });
