A request that waits for a connection isn't sent to an upstream that has asked for a pause meanwhile

Seen in the new test of UpstreamConnections.test.ts, which failed before: a second request waits for the only connection, the answer to the first one asks for a pause, and the second is sent on the connection that has become free. Cause: the choice of an upstream was checked when it was made, and from then on every 100 ms only; the answer that asks for the pause is also what frees the connection. Change: a request may name an obstacle, which is checked when the connection for it is there. It then counts as not sent, and goes elsewhere without using up a repeat. The periodic check stays, as it moves requests earlier that wait for long.

--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -36,13 +36,19 @@
 
     /** Sends a request to the selected upstream. */
     public start(call: Call, state: CallState, selection: Selection, headers: string[]): Attempt {
-        const { connections, entryCount } = this.deps;
+        const { connections, entryCount, isSpared } = this.deps;
         const { record, name } = selection;
         const exchange = connections.send(
             name,
             addressOf(record),
             connectionsPerInstance(call.service, entryCount()),
-            { method: call.req.method, path: call.req.path, headers, body: call.body },
+            {
+                method: call.req.method,
+                path: call.req.path,
+                headers,
+                body: call.body,
+                obstacle: () => isSpared(name) ? `upstream ${name} wants no requests` : undefined,
+            },
         );
         const attempt = new Attempt(this.deps, call, state, selection, exchange, () => this.active.delete(attempt));
         this.active.add(attempt);
--- a/src/node/gateway/UpstreamConnections.test.ts
+++ b/src/node/gateway/UpstreamConnections.test.ts
@@ -3,7 +3,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { SystemClock } from "../time/SystemClock.ts";
-import { isFailure, UpstreamConnections } from "./UpstreamConnections.ts";
+import { type Exchange, isFailure, UpstreamConnections } from "./UpstreamConnections.ts";
 
 const BODY = "hello";
 
@@ -105,3 +105,36 @@
     assert.ok(isFailure(head));
     assert.equal(head.wasSent, false);
 });
+
+test("UpstreamConnections: a request that waits for a connection isn't sent once there is an obstacle", async () => {
+    let arrived = 0;
+    const server = createServer(socket => {
+        socket.on("data", () => {
+            arrived++;
+            setTimeout(() => socket.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), 20);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const connections = createConnections();
+    const obstacles: string[] = [];
+    const send = (): Exchange =>
+        connections.send("u 1", `127.0.0.1:${port}`, 1, {
+            method: "GET",
+            path: "/",
+            headers: ["Host", "x"],
+            body: undefined,
+            obstacle: () => obstacles[0],
+        });
+    const first = send();
+    const waiting = send();
+    assert.equal(isFailure(await first.readHead()), false);
+    obstacles.push("the upstream wants no requests");
+    await first.readChunk();
+    const failure = await waiting.readHead();
+    assert.ok(isFailure(failure));
+    assert.deepEqual([failure.message, failure.wasSent, arrived], [obstacles[0], false, 1]);
+    connections.dispose();
+    server.close();
+});
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -43,6 +43,8 @@
     /** Names and values, alternating. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
+    /** Why the request must not be sent any more, when a connection for it is there; undefined if it may be sent. */
+    readonly obstacle?: () => string | undefined;
 }
 
 /** Status and headers of a response. */
@@ -82,10 +84,12 @@
     private resolveWait: (() => void) | undefined;
     private readonly now: () => number;
     private readonly ending: () => Ending;
+    private readonly obstacle: ExchangeRequest["obstacle"];
 
-    public constructor(now: () => number, ending: () => Ending) {
+    public constructor(now: () => number, ending: () => Ending, obstacle: ExchangeRequest["obstacle"]) {
         this.now = now;
         this.ending = ending;
+        this.obstacle = obstacle;
     }
 
     /** Whether the response is complete or the exchange has failed. */
@@ -142,6 +146,11 @@
                     controller.abort(new Error("aborted before it was sent"));
                     return;
                 }
+                const reason = this.obstacle?.();
+                if (reason !== undefined) {
+                    this.abort(reason);
+                    return;
+                }
                 this.wasSent = true;
             },
             onResponseStart: (controller, status) => {
@@ -272,7 +281,7 @@
     /** Sends a request to the upstream process `name` at `address` over a pool of at most `maxConnections`. */
     public send(name: string, address: string, maxConnections: number, req: ExchangeRequest): Exchange {
         const entry = this.getPool(name, address, maxConnections);
-        const exchange = new Exchange(this.now, () => entry.ending);
+        const exchange = new Exchange(this.now, () => entry.ending, req.obstacle);
         this.silence.watch(address, exchange);
         entry.pool.dispatch(
             {
