--- a/src/common/control/ControlTypes.ts
+++ b/src/common/control/ControlTypes.ts
@@ -19,7 +19,7 @@
 /** Time limit for a peer to install a snapshot, in ms. */
 export const SNAPSHOT_TIMEOUT_MS = 5000;
 
-/** Age of a confirmation that is sent when there never was one, in ms: JSON and CBOR schemas have no Infinity. */
+/** Age of a confirmation that is sent when there never was one, in ms: messages may not hold Infinity. */
 export const NEVER_CONFIRMED_MS = 1e12;
 
 /** Role of a voter. */
