A relay doesn't cut a slow stream when its upstream leaves or asks for a pause

Found on a read of the diff. Seen in the new test of RelayServer.test.ts, which failed before: a relayed response pauses for half a second, the upstream wants no further requests meanwhile, and the relay closes the connection in the middle. Cause: 200 ms without bytes counted as the end of a response, also of one that tells where it ends. Change: only a response whose end can't be known is taken for over when it pauses.

--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -200,6 +200,20 @@
     assert.ok(await countArrivalsAfterRefusal() > 10);
 });
 
+test("RelayServer: a response that pauses goes on to its end, although the upstream wants no requests", async () => {
+    answer = async socket => {
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+        await sleep(50);
+        refusalReason = "the upstream is leaving";
+        await sleep(500);
+        socket.write("6\r\n world\r\n0\r\n\r\n");
+    };
+    const connections = createConnections(() => undefined);
+    assert.equal(await send(connections), "hello world");
+    refusalReason = undefined;
+    connections.dispose();
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -100,11 +100,10 @@
         const idleSince = clock.monotonic() - IDLE_AFTER_MS;
         for (const { socket, address, isAnswered, usedAt, heads } of this.connections) {
             const isIdle = isAnswered && usedAt < idleSince;
-            if (!isIdle && !heads.areComplete) {
-                continue;
-            }
-            const found = refusal(address);
-            if (found?.isByUpstream === true || (isIdle && found !== undefined)) {
+            // A response that tells where it ends may pause for any time before.
+            const mayBeOver = heads.areComplete || (isIdle && !heads.isEndKnown);
+            const found = mayBeOver ? refusal(address) : undefined;
+            if (found !== undefined && (isIdle || found.isByUpstream)) {
                 // Sends what is left of the response first.
                 socket.end();
             }
