Tests listen on ports that outgoing connections can't take

Cause: the ports were chosen by listening on port 0, so they lay in the range of outgoing connections (32768 to 60999). They are free between the choice and the start of an instance, and while it is stopped; a connection of any other process may take one in between. Change: ports from 20000 to 31999, each process from another one on, checked to be free.

--- a/addons/fakes/Deployment.ts
+++ b/addons/fakes/Deployment.ts
@@ -231,16 +231,32 @@
     }
 }
 
+/**
+ * Ports for tests: below those that the operating system gives to outgoing connections, one of which could take a port
+ * before its test listens on it, or while a restarted instance doesn't.
+ */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
+/** Ports between the first ones that two processes try. */
+const PORTS_PER_PROCESS = 100;
+
+let nextPort = process.pid * PORTS_PER_PROCESS;
+
 /** Returns TCP ports on which no process listens. */
 export const freePorts = async (count: number): Promise<number[]> => {
-    const servers = await Promise.all(
-        Array.from({ length: count }, () =>
-            new Promise<ReturnType<typeof createServer>>(resolve => {
-                const server = createServer();
-                server.listen(0, HOST, () => resolve(server));
-            })),
-    );
-    const ports = servers.map(server => (server.address() as { port: number; }).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    const ports: number[] = [];
+    while (ports.length < count) {
+        const port = FIRST_PORT + nextPort++ % PORT_COUNT;
+        if (await isFree(port)) {
+            ports.push(port);
+        }
+    }
     return ports;
 };
+
+const isFree = (port: number): Promise<boolean> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, HOST, () => server.close(() => resolve(true)));
+    });
