Responses that are broken off are counted by cause; targets of attempts have a module of their own

The request log tells why a response was broken off, but the metrics only that it was. skylarktide_gateway_responses_broken_off_total counts them by route and cause, so that responses given up for lack of an upstream, of attempts or of repeats can be told from those whose deadline has passed.

Call, its state and its results move to Call.ts, the search for a target (upstream, permit, engine memory) to AttemptTargets.ts; a reservation belongs to its target instead of the state of the request, since more than one attempt of a request is going to run at a time. No change of behaviour: Gateway.test.ts 30 of 30, EngineNotices, PathLoss, Attempt and QueuedSelection 35 pass, 1 todo as before.

--- a/src/node/gateway/Attempt.test.ts
+++ b/src/node/gateway/Attempt.test.ts
@@ -7,9 +7,9 @@
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { ManualClock } from "../../common/time/ManualClock.ts";
 import { Attempt, type AttemptDependencies } from "./Attempt.ts";
+import { type Call, type CallState } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { ReplyBuffers } from "./ReplyBuffers.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
 import { type Exchange } from "./UpstreamConnections.ts";
 
 const KIB = 1024;
@@ -76,7 +76,10 @@
         deps as unknown as AttemptDependencies,
         call as unknown as Call,
         state as unknown as CallState,
-        { record: { id: "u", start: 1, domain: "d" }, name: "u 1", stats } as unknown as Selection,
+        {
+            selection: { record: { id: "u", start: 1, domain: "d" }, name: "u 1", stats } as unknown as Selection,
+            reservation: { end: () => undefined, recordRead: () => undefined },
+        },
         exchange as unknown as Exchange,
         () => undefined,
     );
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -5,15 +5,17 @@
 import { AttemptLoad } from "../../common/gateway/AttemptLoad.ts";
 import { EventSplitter } from "../../common/gateway/EventSplitter.ts";
 import { type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
+import { type PromptReservation } from "../../common/gateway/PromptReservations.ts";
 import { isStalled } from "../../common/gateway/StallDetection.ts";
 import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { type UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { attemptEnd } from "./AttemptEnd.ts";
+import { type AttemptTarget } from "./AttemptTargets.ts";
+import { type Call, type CallState } from "./Call.ts";
 import { type ModelChoice } from "./ModelChoice.ts";
 import { type ReplyBuffers } from "./ReplyBuffers.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
 import { type Exchange, type ExchangeFailure, isFailure } from "./UpstreamConnections.ts";
 
 /** An upstream counts as dead when both its heartbeats and its traffic have been missing for these times, in ms. */
@@ -89,6 +91,7 @@
     private readonly call: Call;
     private readonly state: CallState;
     private readonly selection: Selection;
+    private readonly reservation: PromptReservation;
     private readonly exchange: Exchange;
     private readonly onEnded: () => void;
     private readonly sentAt: number;
@@ -108,14 +111,15 @@
         deps: AttemptDependencies,
         call: Call,
         state: CallState,
-        selection: Selection,
+        target: AttemptTarget,
         exchange: Exchange,
         onEnded: () => void,
     ) {
         this.deps = deps;
         this.call = call;
         this.state = state;
-        this.selection = selection;
+        this.selection = target.selection;
+        this.reservation = target.reservation;
         this.exchange = exchange;
         this.onEnded = onEnded;
         this.sentAt = deps.clock.monotonic();
@@ -136,11 +140,11 @@
         try {
             const failure = await this.relayResponse();
             isAnswered = failure === undefined;
-            this.state.reservation?.end(attemptEnd(failure, deps.clock.monotonic() - stats.lastByteAt));
+            this.reservation.end(attemptEnd(failure, deps.clock.monotonic() - stats.lastByteAt));
             return failure;
         }
         finally {
-            this.state.reservation?.end("aborted");
+            this.reservation.end("aborted");
             deadline.dispose();
             exchange.abort("the attempt has ended");
             load.end(isAnswered);
@@ -399,7 +403,7 @@
         }
         this.lastEventAt = now;
         this.firstEventAt ??= now;
-        state.reservation?.recordRead();
+        this.reservation.recordRead();
         if (now - this.firstEventAt >= SOUND_STREAM_MS) {
             this.reportAnswer();
         }
--- a/src/node/gateway/BrokenRuns.ts
+++ b/src/node/gateway/BrokenRuns.ts
@@ -7,7 +7,7 @@
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
-import { type Call } from "./RequestRouter.ts";
+import { type Call } from "./Call.ts";
 import { type UpstreamTransport } from "./UpstreamConnections.ts";
 
 /** Dependencies of `reportBrokenRun`. */
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -9,9 +9,10 @@
 import { type RouteTable } from "../../common/gateway/RouteTable.ts";
 import { weightedChoice } from "../../common/routing/Hash.ts";
 import { type Clock } from "../../common/time/Clock.ts";
+import { type Call, type CallResult, type CallState, createCallState, QUARANTINED } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { type RequestLog } from "./RequestLog.ts";
-import { type Call, type CallResult, type CallState, QUARANTINED, type RequestRouter } from "./RequestRouter.ts";
+import { type RequestRouter } from "./RequestRouter.ts";
 
 /** Suggested retry delay when the instance can't serve at the moment, in ms. */
 const RETRY_AFTER_MS = 500;
@@ -113,23 +114,7 @@
         arrivedAt: number,
     ): Promise<void> {
         const { clock, log } = this.deps;
-        const state: CallState = {
-            tried: new Set(),
-            reservation: undefined,
-            possibleRuns: 0,
-            modelIndex: 0,
-            confidence: undefined,
-            keptFor: undefined,
-            splitter: undefined,
-            errorResponse: undefined,
-            lastFailure: "",
-            upstreamIds: [],
-            modelIndexes: [],
-            firstEventMs: undefined,
-            lastEventAt: 0,
-            longestPauseMs: 0,
-            wait: undefined,
-        };
+        const state = createCallState();
         if (this.isKeepAliveDisabled) {
             reply.disableKeepAlive();
         }
--- a/src/node/gateway/GatewayMetrics.ts
+++ b/src/node/gateway/GatewayMetrics.ts
@@ -16,6 +16,7 @@
 export class GatewayMetrics {
     private readonly registry = new Registry();
     private readonly requests: Counter;
+    private readonly brokenOff: Counter;
     private readonly latency: Histogram;
     private readonly firstModels: Counter;
     private readonly escalations: Counter;
@@ -30,6 +31,12 @@
             labelNames: ["route", "outcome"],
             registers,
         });
+        this.brokenOff = new Counter({
+            name: "skylarktide_gateway_responses_broken_off_total",
+            help: "Responses that had begun and could not be completed, by route and cause.",
+            labelNames: ["route", "cause"],
+            registers,
+        });
         this.latency = new Histogram({
             name: "skylarktide_gateway_request_seconds",
             help: "Time until a request had its whole answer.",
@@ -74,6 +81,11 @@
         this.latency.observe({ outcome }, ms / MS_PER_SECOND);
     }
 
+    /** Counts a response that had begun and could not be completed. */
+    public countBrokenOff(route: string, cause: string): void {
+        this.brokenOff.inc({ route, cause });
+    }
+
     /** Counts a request that begins with a model of its route. */
     public countFirstModel(route: string, model: string): void {
         this.firstModels.inc({ route, model });
--- a/src/node/gateway/ModelChoice.ts
+++ b/src/node/gateway/ModelChoice.ts
@@ -8,8 +8,8 @@
 import { type ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { type UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { type Clock } from "../../common/time/Clock.ts";
+import { type Call, type CallState } from "./Call.ts";
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
 
 /** Dependencies of the choice. */
 export interface ModelChoiceDependencies {
--- a/src/node/gateway/QueuedSelection.test.ts
+++ b/src/node/gateway/QueuedSelection.test.ts
@@ -4,9 +4,9 @@
 import { type UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { ManualClock } from "../../common/time/ManualClock.ts";
 import { createLog } from "../log/Log.ts";
+import { type Call, type CallState } from "./Call.ts";
 import { GatewayMetrics } from "./GatewayMetrics.ts";
 import { QueuedSelection } from "./QueuedSelection.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
 
 const selection = { name: "engine 1", record: { id: "engine", slots: 24 } } as unknown as Selection;
 
--- a/src/node/gateway/QueuedSelection.ts
+++ b/src/node/gateway/QueuedSelection.ts
@@ -16,8 +16,8 @@
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
+import { type Call, type CallState, type FinalFailure } from "./Call.ts";
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
-import { type Call, type CallState, type FinalFailure } from "./RequestRouter.ts";
 import { findObstacle, RETRY_AFTER_MS } from "./UpstreamObstacles.ts";
 
 /** Share of an engine that an output token takes, in ms: about 25 ms for a token of each of its 16 to 24 requests. */
--- a/src/node/gateway/RequestLog.ts
+++ b/src/node/gateway/RequestLog.ts
@@ -5,7 +5,7 @@
 import { type CallerRequest } from "../../common/gateway/ExchangeCodec.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
-import { type Call, type CallResult, type CallState } from "./RequestRouter.ts";
+import { type Call, type CallResult, type CallState } from "./Call.ts";
 
 /** Most lines per second for requests that were served. */
 const SERVED_PER_SECOND = 20;
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -3,11 +3,11 @@
  */
 import { connectionsPerInstance } from "../../common/gateway/GatewayConfig.ts";
 import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
-import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
 import { Attempt, type AttemptDependencies } from "./Attempt.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
+import { type AttemptTarget } from "./AttemptTargets.ts";
+import { type Call, type CallState } from "./Call.ts";
 import { type UpstreamTransport } from "./UpstreamConnections.ts";
 
 /** How often the attempts are checked, in ms. */
@@ -36,9 +36,9 @@
     }
 
     /** Sends a request to the selected upstream. */
-    public start(call: Call, state: CallState, selection: Selection, headers: string[]): Attempt {
+    public start(call: Call, state: CallState, target: AttemptTarget, headers: string[]): Attempt {
         const { connections, entryCount, isSpared } = this.deps;
-        const { record, name } = selection;
+        const { record, name } = target.selection;
         const exchange = connections.send(
             name,
             addressOf(record),
@@ -51,7 +51,7 @@
                 obstacle: () => isSpared(name) ? `upstream ${name} wants no requests` : undefined,
             },
         );
-        const attempt = new Attempt(this.deps, call, state, selection, exchange, () => this.active.delete(attempt));
+        const attempt = new Attempt(this.deps, call, state, target, exchange, () => this.active.delete(attempt));
         this.active.add(attempt);
         this.checks.wake();
         return attempt;
--- a/src/node/log/ProcessLog.test.ts
+++ b/src/node/log/ProcessLog.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock } from "../../common/time/ManualClock.ts";
+import { type CallResult } from "../gateway/Call.ts";
 import { RequestLog } from "../gateway/RequestLog.ts";
-import { type CallResult } from "../gateway/RequestRouter.ts";
 import { createLog, type Log } from "./Log.ts";
 import { BoundedLineWriter } from "./ProcessLog.ts";
 
