An answer of low confidence is dropped only when a larger model has an upstream

Callers got 502 although an answer was there: an answer whose confidence is low was aborted first, and only then was an upstream for the larger model looked for.

Evidence: "an answer of low confidence is relayed if no upstream has room for a larger model" (RequestRouter.test.ts) failed before: outcome failed instead of served.

Change: the attempt holds its answer and asks its group for the replacement; the router looks for a target for a quarter of the latency objective at most. If it sends the request there, the attempt is aborted in the same step; else the answer is relayed, and the token goes back to the retry budget. Escalations are counted when they are sent.

--- a/src/common/gateway/ServiceRetryBudget.ts
+++ b/src/common/gateway/ServiceRetryBudget.ts
@@ -65,6 +65,11 @@
         return this.take(service, this.capacityOf(this.bucketOf(service)) * RESERVED_FRACTION);
     }
 
+    /** Returns a token that was taken and not used. */
+    public putBack(service: string): void {
+        this.bucketOf(service).tokens++;
+    }
+
     private take(service: string, reserved: number): boolean {
         const bucket = this.bucketOf(service);
         if (bucket.tokens < 1 + reserved) {
--- a/src/node/gateway/Attempt.test.ts
+++ b/src/node/gateway/Attempt.test.ts
@@ -6,10 +6,11 @@
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { ManualClock } from "../../common/time/ManualClock.ts";
-import { Attempt, type AttemptDependencies } from "./Attempt.ts";
+import { Attempt } from "./Attempt.ts";
 import { type Call, createCallState } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { ReplyBuffers } from "./ReplyBuffers.ts";
+import { type AttemptDependencies } from "./UpstreamAttempts.ts";
 import { type Exchange } from "./UpstreamConnections.ts";
 
 const KIB = 1024;
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -5,18 +5,14 @@
 import { AttemptLoad } from "../../common/gateway/AttemptLoad.ts";
 import { EventPace } from "../../common/gateway/EventPace.ts";
 import { EventSplitter } from "../../common/gateway/EventSplitter.ts";
-import { type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
+import { type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
 import { type PromptReservation } from "../../common/gateway/PromptReservations.ts";
 import { findStall, type Stall } from "../../common/gateway/StallDetection.ts";
-import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
-import { type UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
-import { type Clock } from "../../common/time/Clock.ts";
 import { attemptEnd, type AttemptFailure } from "./AttemptEnd.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
 import { type Call, type CallState } from "./Call.ts";
-import { type ModelChoice } from "./ModelChoice.ts";
-import { type ReplyBuffers } from "./ReplyBuffers.ts";
+import { type AttemptDependencies } from "./UpstreamAttempts.ts";
 import { type Exchange, type ExchangeFailure, isFailure } from "./UpstreamConnections.ts";
 
 /** How long an upstream gets no requests after another process responded at its address (status 421), in ms. */
@@ -33,34 +29,6 @@
 /** A stream that has gone on for this long after its first event has not crashed its upstream by its prompt, in ms. */
 const SOUND_STREAM_MS = 1000;
 
-/** Dependencies of an attempt. */
-export interface AttemptDependencies {
-    readonly clock: Clock;
-    readonly codec: ExchangeCodec;
-    readonly upstreamStats: UpstreamStatistics;
-    readonly directory: UpstreamDirectory;
-    /** Whether this instance has recent quorum contact, and therefore an up-to-date directory of upstreams. */
-    readonly hasQuorumContact: () => boolean;
-    readonly models: ModelChoice;
-    readonly replyBuffers: ReplyBuffers;
-    /** Called when the upstream closed the connection while the request ran. */
-    readonly onConnectionClosed: (call: Call, selection: Selection) => void;
-    /** Called when the upstream has answered the request in full, or has been answering it for long. */
-    readonly onAnswered: (call: Call) => void;
-    /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
-    readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
-    /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
-    readonly isSpared: (upstream: string) => boolean;
-    /** Called for each response of the selected process to its request, with what it states about itself. */
-    readonly onStatement: (selection: Selection, head: ResponseHead) => void;
-    /** Called for a response of that process to an earlier request, which came on the connection in use again. */
-    readonly onLateStatement: (selection: Selection, head: ResponseHead) => void;
-    /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
-    readonly onUnanswered: (call: Call, selection: Selection, waitedMs: number) => void;
-    /** Called once for a stream with enough events, with the median time between its first ones. */
-    readonly onPace: (call: Call, selection: Selection, paceMs: number) => void;
-}
-
 /** One attempt. */
 export class Attempt {
     private readonly deps: AttemptDependencies;
@@ -239,11 +207,8 @@
         const { call } = this;
         const isStream = call.route.kind === "stream" && isSuccess(head.status);
         const nextModelIndex = isStream ? this.findEscalation(head) : undefined;
-        if (nextModelIndex !== undefined) {
-            this.exchange.abort("a larger model takes over");
-            deps.upstreamStats.recordSuccess(stats);
-            const message = `model ${this.state.modelIndex} has confidence ${head.confidence}`;
-            return { message, wasSent: true, mayHaveRun: true, isErrorResponse: false, nextModelIndex };
+        if (nextModelIndex !== undefined && await this.isReplacedBy(nextModelIndex)) {
+            return this.fail(this.supersededFailure);
         }
         if (!isStream && call.reply.hasBegun && head.status < 500) {
             return this.fail({ ...unusableResponse, message: `the stream was resumed with status ${head.status}` });
@@ -271,6 +236,19 @@
         return deps.models.next(call, state, head, deps.clock.monotonic() - this.sentAt);
     }
 
+    /** Holds the answer until it is known whether the larger model replaces it. */
+    private async isReplacedBy(modelIndex: number): Promise<boolean> {
+        const { deps, state, selection: { name, stats } } = this;
+        this.progressAt = Infinity;
+        const isReplaced = await state.attempts.requestReplacement(name, modelIndex);
+        this.progressAt = deps.clock.monotonic();
+        if (isReplaced) {
+            deps.upstreamStats.recordSuccess(stats);
+            this.supersede();
+        }
+        return isReplaced;
+    }
+
     private handleNotRun(head: ResponseHead): AttemptFailure {
         const { deps, selection: { stats, record } } = this;
         const isWrongProcess = head.status === 421;
@@ -300,7 +278,7 @@
             deps.upstreamStats.recordUnreachable(selection.record.domain);
         }
         const text = `upstream ${selection.record.id}: ${message}`;
-        return { message: text, wasSent, mayHaveRun: wasSent, isErrorResponse: false };
+        return { message: text, wasSent, mayHaveRun: wasSent, isErrorResponse: false, isSuperseded: this.isSuperseded };
     }
 
     /** Buffers the body before it is sent, so that a request whose response breaks off can still be retried. */
--- a/src/node/gateway/AttemptEnd.ts
+++ b/src/node/gateway/AttemptEnd.ts
@@ -15,8 +15,8 @@
     readonly mayHaveRun: boolean;
     /** Whether the upstream sent a complete response with a 5xx status. */
     readonly isErrorResponse: boolean;
-    /** Index of the model to retry with, if the confidence of this attempt's model was too low. */
-    readonly nextModelIndex?: number;
+    /** Whether it was aborted because another attempt is relayed. */
+    readonly isSuperseded?: boolean;
 }
 
 /** @param silenceMs time since the newest byte from the engine, on any connection */
--- a/src/node/gateway/AttemptGroup.ts
+++ b/src/node/gateway/AttemptGroup.ts
@@ -14,12 +14,22 @@
     readonly failure: AttemptFailure | undefined;
 }
 
+/** An attempt whose answer a larger model should replace. It holds the answer until it is told whether one does. */
+export interface WantedReplacement {
+    /** Name of the upstream that has answered. */
+    readonly upstream: string;
+    /** Index of the larger model. */
+    readonly modelIndex: number;
+    readonly settle: (isReplaced: boolean) => void;
+}
+
 /** The attempts of one request. */
 export class AttemptGroup {
     private readonly running = new Set<Attempt>();
     private readonly ended: (EndedAttempt | Error)[] = [];
     private readonly changed = new Emitter<void>();
     private relayed: Attempt | undefined;
+    private wanted: WantedReplacement | undefined;
 
     /** Fires when an attempt has ended, and while one has stalled or when it goes on. */
     public readonly onChanged = this.changed.event;
@@ -75,6 +85,21 @@
         }
     }
 
+    /** Asks for another model's answer; resolves with whether one has been sent for, so that this answer is to be dropped. */
+    public requestReplacement(upstream: string, modelIndex: number): Promise<boolean> {
+        return new Promise(resolve => {
+            this.wanted = { upstream, modelIndex, settle: resolve };
+            this.notify();
+        });
+    }
+
+    /** Returns a replacement that is asked for, once; undefined if there is none. */
+    public takeWantedReplacement(): WantedReplacement | undefined {
+        const { wanted } = this;
+        this.wanted = undefined;
+        return wanted;
+    }
+
     /** To be called while an attempt has stalled, and when it goes on. */
     public notify(): void {
         this.changed.fire();
--- a/src/node/gateway/ModelChoice.ts
+++ b/src/node/gateway/ModelChoice.ts
@@ -53,7 +53,7 @@
      * should answer instead; undefined to keep the answer. A returned model has been taken from the retry budget.
      */
     public next(call: Call, state: CallState, { confidence }: ResponseHead, latencyMs: number): number | undefined {
-        const { clock, budget, metrics, hasQuorumContact } = this.deps;
+        const { clock, budget, hasQuorumContact } = this.deps;
         const { route, service } = call;
         const model = state.modelIndex;
         const isByValue = this.isByValue(call);
@@ -89,7 +89,6 @@
             state.keptFor = "no repeats are left";
             return undefined;
         }
-        metrics.countEscalation(route.name, route.models[model] ?? "", route.models[next] ?? "");
         return next;
     }
 
--- a/src/node/gateway/RequestRouter.test.ts
+++ b/src/node/gateway/RequestRouter.test.ts
@@ -9,7 +9,7 @@
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { ManualClock } from "../../common/time/ManualClock.ts";
 import { createLog } from "../log/Log.ts";
-import { type Call, type CallResult, createCallState } from "./Call.ts";
+import { type Call, type CallResult, type CallState, createCallState } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { GatewayMetrics } from "./GatewayMetrics.ts";
 import { RequestRouter, type RequestRouterDependencies } from "./RequestRouter.ts";
@@ -69,7 +69,7 @@
 
 /** A router with the given upstreams and one request, whose caller reads everything. */
 const createSetup = async (options: SetupOptions) => {
-    const { maxAttempts = 2, kind = "stream", repeats = 5, upstreams = ["a", "b", "c"] } = options;
+    const { maxAttempts = 2, kind = "stream", repeats = 5, upstreams = ["a", "b", "c"], confidence } = options;
     const clock = new ManualClock(10_000);
     const sent: SentAttempt[] = [];
     const usable = new Set(upstreams);
@@ -87,10 +87,12 @@
         connection.push("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
     });
     const budget = {
+        putBack: () => budget.left++,
         left: repeats,
         hasToken: () => budget.left > 0,
         tryWithdraw: () => budget.left > 0 && budget.left-- > 0,
     };
+    const models = confidence === undefined ? [] : ["small", "large"];
     const codec = {
         attemptHeaders: (...[, { resumeAfter }]: Parameters<ExchangeCodec["attemptHeaders"]>) => [
             "resumeAfter",
@@ -103,6 +105,7 @@
             requestId: "q",
             hasStamp: true,
             isNotRun: status === 503,
+            confidence,
         }),
     };
     const stub = {
@@ -113,7 +116,11 @@
         entryCount: () => 1,
         hasQuorumContact: () => false,
         isSpared: () => false,
-        models: { next: () => undefined, recordGeneration: () => undefined },
+        models: {
+            next: (...[, { modelIndex }]: [Call, CallState]) =>
+                confidence !== undefined && confidence < 50 && modelIndex === 0 ? 1 : undefined,
+            recordGeneration: () => undefined,
+        },
         onStatement: () => undefined,
         onLateStatement: () => undefined,
         onResponse: () => undefined,
@@ -162,7 +169,7 @@
     } as unknown as RequestRouterDependencies);
     const call = {
         req: { id: "q", method: "GET", path: "/", headers: [], prompt: undefined, resumeAfter: undefined },
-        route: { name: "r", kind, gapMs: 600, objectiveMs: 1000, isResumable: true, maxAttempts, models: [] },
+        route: { name: "r", kind, gapMs: 600, objectiveMs: 1000, isResumable: true, maxAttempts, models },
         service: { name: "s", maxConnections: 10 },
         keys: { request: () => "key", parts: new Map() },
         arrivedAt: clock.monotonic(),
@@ -182,7 +189,7 @@
     };
     await settle();
     const events = (): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-    return { sent, usable, advance, events, result: () => result, budget, connection };
+    return { sent, usable, advance, events, result: () => result, budget, connection, state };
 };
 
 const begin = async ({ sent }: { sent: readonly SentAttempt[]; }): Promise<void> => {
@@ -312,3 +319,22 @@
     assert.deepEqual(setup.sent.map(({ isAborted }) => isAborted), [true, true]);
     assert.equal(setup.result()?.outcome, "callerLeft");
 });
+
+test("RequestRouter: an answer of low confidence is relayed if no upstream has room for a larger model", async () => {
+    const setup = await createSetup({ confidence: 20 });
+    setup.usable.clear();
+    await begin(setup);
+    await setup.advance(300);
+    await finish(setup.sent[0], 2, 4);
+    assert.deepEqual([setup.events(), setup.result()?.outcome, setup.sent.length], [[1, 2, 3, 4], "served", 1]);
+    assert.equal(setup.state.modelIndex, 0);
+});
+
+test("RequestRouter: an answer of low confidence is replaced once an upstream for a larger model has been found", async () => {
+    const setup = await createSetup({ confidence: 20 });
+    await begin(setup);
+    assert.deepEqual(setup.sent.map(({ isAborted }) => isAborted), [true, false]);
+    setup.sent[1]?.sendHead();
+    await finish(setup.sent[1], 1, 2);
+    assert.deepEqual([setup.events(), setup.result()?.outcome, setup.state.modelIndexes], [[1, 2], "served", [0, 1]]);
+});
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -35,6 +35,9 @@
 /** Pause between two searches for the target of a backup attempt, in ms. */
 const BACKUP_PAUSE_MS = 200;
 
+/** How long an answer is held while a target for a larger model is looked for, as a fraction of the latency objective. */
+const REPLACEMENT_FRACTION = 1 / 4;
+
 /** Dependencies of the router. */
 export interface RequestRouterDependencies extends AttemptTargetsDependencies {
     readonly codec: ExchangeCodec;
@@ -82,6 +85,7 @@
                 }
                 else if (attempts.size > 0) {
                     void this.startBackup(call, state);
+                    void this.startReplacement(call, state);
                     await attempts.waitForChange();
                 }
                 else {
@@ -117,7 +121,7 @@
 
     /** Sends a backup attempt if none of the attempts makes progress and there is a target for it. */
     private async startBackup(call: Call, state: CallState): Promise<void> {
-        const { clock, budget, metrics, log } = this.deps;
+        const { clock, budget, metrics } = this.deps;
         const { attempts } = state;
         const service = call.service.name;
         const isPossible = attempts.haveStalled && clock.monotonic() >= state.backupNotBefore
@@ -127,32 +131,75 @@
             return;
         }
         state.backupNotBefore = Infinity;
-        const controller = new AbortController();
+        const search = new AbortController();
         const progress = attempts.onChanged(() => {
             if (!attempts.haveStalled) {
-                controller.abort();
+                search.abort();
             }
         });
+        const isSent = await this.sendBeside(
+            call,
+            state,
+            search.signal,
+            () => this.mayRunAgain(call, state) && budget.tryWithdraw(service),
+        );
+        if (isSent) {
+            metrics.countBackup(service);
+        }
+        progress.dispose();
+        state.backupNotBefore = clock.monotonic() + BACKUP_PAUSE_MS;
+    }
+
+    /** Sends the request to the larger model that an attempt asks for. Without a target for it, the attempt's answer is kept. */
+    private async startReplacement(call: Call, state: CallState): Promise<void> {
+        const { clock, budget, metrics } = this.deps;
+        const { route, service } = call;
+        const { modelIndex } = state;
+        const wanted = state.attempts.takeWantedReplacement();
+        if (wanted === undefined) {
+            return;
+        }
+        const search = new AbortController();
+        const limit = clock.schedule(route.objectiveMs * REPLACEMENT_FRACTION, () => search.abort());
+        // The larger model may run on the same upstream.
+        state.tried.delete(wanted.upstream);
+        state.modelIndex = wanted.modelIndex;
+        const isSent = await this.sendBeside(call, state, search.signal, () => !this.deps.isQuarantined(call.keys));
+        if (isSent) {
+            metrics.countEscalation(route.name, route.models[modelIndex] ?? "", route.models[wanted.modelIndex] ?? "");
+        }
+        else {
+            state.tried.add(wanted.upstream);
+            state.modelIndex = modelIndex;
+            state.keptFor = "no upstream for a larger model";
+            budget.putBack(service.name);
+        }
+        limit.dispose();
+        wanted.settle(isSent);
+    }
+
+    /** Sends an attempt beside others if a target is found and `mayUse` agrees; resolves with whether it was sent. */
+    private async sendBeside(
+        call: Call,
+        state: CallState,
+        signal: AbortSignal,
+        mayUse: () => boolean,
+    ): Promise<boolean> {
         try {
-            const target = await this.targets.select(call, state, controller.signal);
+            const target = await this.targets.select(call, state, signal);
             if ("reason" in target) {
-                return;
-            }
-            const isNeeded = !controller.signal.aborted && !call.reply.isCallerGone && this.mayRunAgain(call, state);
-            if (isNeeded && budget.tryWithdraw(service)) {
-                metrics.countBackup(service);
-                this.send(call, state, target);
+                return false;
             }
-            else {
+            if (signal.aborted || call.reply.isCallerGone || !mayUse()) {
                 target.reservation.end("complete");
+                return false;
             }
+            this.send(call, state, target);
+            return true;
         }
         catch (err) {
-            log.error("The search for the target of a backup attempt failed.", { reason: (err as Error).message });
-        }
-        finally {
-            progress.dispose();
-            state.backupNotBefore = clock.monotonic() + BACKUP_PAUSE_MS;
+            this.deps.log.error("The search for another upstream failed.", { reason: (err as Error).message });
+            return false;
         }
     }
 
@@ -185,13 +232,7 @@
         if (call.reply.isCallerGone) {
             return callerLeftResult;
         }
-        if (failure.nextModelIndex !== undefined) {
-            state.modelIndex = failure.nextModelIndex;
-            state.possibleRuns++;
-            state.tried.delete(selection.name);
-            return undefined;
-        }
-        state.lastFailure = failure.message;
+        state.lastFailure = failure.isSuperseded === true ? state.lastFailure : failure.message;
         state.possibleRuns += failure.mayHaveRun ? 1 : 0;
         if (failure.isErrorResponse) {
             this.recordOutcome(call, selection, true, undefined);
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -1,18 +1,52 @@
 /**
  * The attempts in flight. A periodic check aborts those whose upstream has restarted, and finds those that make no progress.
  */
+import { type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
 import { connectionsPerInstance } from "../../common/gateway/GatewayConfig.ts";
+import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
+import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
+import { type UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
-import { repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
-import { Attempt, type AttemptDependencies } from "./Attempt.ts";
+import { type Clock, repeatWhileBusy, type WakefulRepeat } from "../../common/time/Clock.ts";
+import { Attempt } from "./Attempt.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
 import { type Call, type CallState } from "./Call.ts";
+import { type ModelChoice } from "./ModelChoice.ts";
+import { type ReplyBuffers } from "./ReplyBuffers.ts";
 import { type UpstreamTransport } from "./UpstreamConnections.ts";
 
 /** How often the attempts are checked, in ms. */
 const CHECK_PERIOD_MS = 100;
 
+/** Dependencies of an attempt. */
+export interface AttemptDependencies {
+    readonly clock: Clock;
+    readonly codec: ExchangeCodec;
+    readonly upstreamStats: UpstreamStatistics;
+    readonly directory: UpstreamDirectory;
+    /** Whether this instance has recent quorum contact, and therefore an up-to-date directory of upstreams. */
+    readonly hasQuorumContact: () => boolean;
+    readonly models: ModelChoice;
+    readonly replyBuffers: ReplyBuffers;
+    /** Called when the upstream closed the connection while the request ran. */
+    readonly onConnectionClosed: (call: Call, selection: Selection) => void;
+    /** Called when the upstream has answered the request in full, or has been answering it for long. */
+    readonly onAnswered: (call: Call) => void;
+    /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
+    readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
+    /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
+    readonly isSpared: (upstream: string) => boolean;
+    /** Called for each response of the selected process to its request, with what it states about itself. */
+    readonly onStatement: (selection: Selection, head: ResponseHead) => void;
+    /** Called for a response of that process to an earlier request, which came on the connection in use again. */
+    readonly onLateStatement: (selection: Selection, head: ResponseHead) => void;
+    /** Called when an attempt is given up because no usable response has begun after `waitedMs`. */
+    readonly onUnanswered: (call: Call, selection: Selection, waitedMs: number) => void;
+    /** Called once for a stream with enough events, with the median time between its first ones. */
+    readonly onPace: (call: Call, selection: Selection, paceMs: number) => void;
+}
+
 /** Dependencies of the attempts. */
 export interface UpstreamAttemptsDependencies extends AttemptDependencies {
     readonly connections: UpstreamTransport;
