Test: a relayed response without a stated end that pauses while no request is wanted

Fails: after 'hello' and 200 ms without bytes the relay ends the connection, 340 ms after the request; 'hello, then the connection ended within the response' instead of 'hello world'.

--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -214,6 +214,29 @@
     connections.dispose();
 });
 
+// An engine may be silent for a second: that must not look like an idle connection.
+test("RelayServer: a response that only its connection ends goes on after a pause, although no request is wanted", async context => {
+    context.after(() => {
+        refusalReason = undefined;
+        isByUpstream = true;
+    });
+    for (const source of ["upstream", "relay"]) {
+        isByUpstream = source === "upstream";
+        answer = async socket => {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nhello");
+            await sleep(50);
+            refusalReason = `the ${source} is leaving`;
+            await sleep(700);
+            socket.end(" world");
+        };
+        const connections = createConnections(() => undefined);
+        const result = await send(connections);
+        connections.dispose();
+        refusalReason = undefined;
+        assert.match(result, /^hello world, then /, source);
+    }
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
