A relayed response that only its connection ends isn't cut while its upstream pauses

Callers of an instance without paths of its own saw such a response break off when its engine was leaving, asked for a pause, or when the relaying instance stopped: 200 ms without bytes counted as an idle connection if the response stated neither a length nor chunks, and an engine may be silent for a second.

Such a response ends with its connection, so no further request can follow on it and there is nothing to close early: only connections whose responses are complete count as idle. Complete means that the newest bytes came from the upstream, so that flag goes.

The other tests of RelayServer pass.

--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -48,8 +48,6 @@
     readonly socket: Socket;
     readonly address: string;
     readonly heads: RelayedHeads;
-    /** Whether the newest bytes came from the upstream, so that no request waits for its answer. */
-    isAnswered: boolean;
     /** Monotonic time of the newest bytes, in ms. */
     usedAt: number;
 }
@@ -98,12 +96,10 @@
     public closeUnwanted(): boolean {
         const { clock, refusal } = this.deps;
         const idleSince = clock.monotonic() - IDLE_AFTER_MS;
-        for (const { socket, address, isAnswered, usedAt, heads } of this.connections) {
-            const isIdle = isAnswered && usedAt < idleSince;
-            // A response that tells where it ends may pause for any time before.
-            const mayBeOver = heads.areComplete || (isIdle && !heads.isEndKnown);
-            const found = mayBeOver ? refusal(address) : undefined;
-            if (found !== undefined && (isIdle || found.isByUpstream)) {
+        for (const { socket, address, usedAt, heads } of this.connections) {
+            // A response that doesn't tell where it ends is never complete: it ends with its connection.
+            const found = heads.areComplete ? refusal(address) : undefined;
+            if (found !== undefined && (found.isByUpstream || usedAt < idleSince)) {
                 // Sends what is left of the response first.
                 socket.end();
             }
@@ -145,11 +141,7 @@
     private connect(socket: Socket, upstream: Socket, address: string): void {
         const { clock, onResponse, refusal } = this.deps;
         const heads = new RelayedHeads(head => onResponse(address, head));
-        const connection = { socket, address, heads, isAnswered: true, usedAt: clock.monotonic() };
-        const recordUse = (isAnswered: boolean): void => {
-            connection.isAnswered = isAnswered;
-            connection.usedAt = clock.monotonic();
-        };
+        const connection = { socket, address, heads, usedAt: clock.monotonic() };
         this.connections.add(connection);
         this.checks.wake();
         socket.on("data", () => {
@@ -159,11 +151,11 @@
                 socket.resetAndDestroy();
                 return;
             }
-            recordUse(false);
+            connection.usedAt = clock.monotonic();
             heads.expectHead();
         });
         upstream.on("data", (chunk: Buffer) => {
-            recordUse(true);
+            connection.usedAt = clock.monotonic();
             heads.push(chunk);
             if (heads.areComplete) {
                 setImmediate(() => this.closeUnwanted());
--- a/src/node/gateway/RelayedHeads.ts
+++ b/src/node/gateway/RelayedHeads.ts
@@ -30,11 +30,6 @@
         return this.partial === undefined && this.missingBytes <= 0;
     }
 
-    /** Whether the newest response tells where it ends. */
-    public get isEndKnown(): boolean {
-        return this.isChunked || this.missingBytes < Infinity;
-    }
-
     /** Bytes of a request have passed. */
     public expectHead(): void {
         this.partial = "";
