Test: a planned stop of a relay while responses of other instances go through it

Fails: what a planned stop calls once the instance has no requests of its own closes all relayed connections at once. A chunked response in progress is cut after 'hello', 400 ms before its end, and a connection in constant use breaks off within a request ('other side closed').

--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { UpstreamUnreachableError } from "../../common/gateway/UpstreamPaths.ts";
 import { createLog } from "../log/Log.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
 import { SystemClock } from "../time/SystemClock.ts";
 import { dialThroughRelay } from "./RelayDialer.ts";
 import { RelayServer } from "./RelayServer.ts";
@@ -12,6 +13,8 @@
 
 const SECRET = "a secret of the tests";
 const RELAY = { host: "127.0.0.1", port: 17_431 };
+/** Address of relays that are stopped within a test. */
+const STOPPED_RELAY = { host: "127.0.0.81", port: 17_431 };
 /** Nothing listens there; the relay reaches the upstream instead, as if the path of the other instance were lost. */
 const LOST_ADDRESS = "127.0.0.1:1";
 const DEAD_ADDRESS = "127.0.0.1:2";
@@ -23,27 +26,32 @@
 const relayedHeads: object[] = [];
 let answer = (socket: Socket): void | Promise<void> => void socket;
 
-before(async () => {
-    upstream = createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => void answer(socket));
-    });
-    upstream.listen(0, "127.0.0.1");
-    await once(upstream, "listening");
-    const { port } = upstream.address() as AddressInfo;
-    relay = new RelayServer({
-        address: RELAY,
+const createRelay = (address: Address): RelayServer =>
+    new RelayServer({
+        address,
         secret: SECRET,
         log: createLog("relay", "fatal"),
         clock: new SystemClock(),
-        onResponse: (address, head) => relayedHeads.push({ address, ...head }),
-        refusal: address => {
-            const isKnown = address === LOST_ADDRESS || address === DEAD_ADDRESS;
+        onResponse: (upstreamAddress, head) => relayedHeads.push({ address: upstreamAddress, ...head }),
+        refusal: target => {
+            const isKnown = target === LOST_ADDRESS || target === DEAD_ADDRESS;
             const reason = isKnown ? refusalReason : "no upstream is known";
             return reason === undefined ? undefined : { reason, isByUpstream };
         },
-        dial: address => dialDirect(address === LOST_ADDRESS ? `127.0.0.1:${port}` : address),
+        dial: target => {
+            const { port } = upstream.address() as AddressInfo;
+            return dialDirect(target === LOST_ADDRESS ? `127.0.0.1:${port}` : target);
+        },
     });
+
+before(async () => {
+    upstream = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => void answer(socket));
+    });
+    upstream.listen(0, "127.0.0.1");
+    await once(upstream, "listening");
+    relay = createRelay(RELAY);
     await relay.start();
 });
 
@@ -52,12 +60,15 @@
     upstream.close();
 });
 
-const createConnections = (onPathLost: (address: string | undefined) => void): UpstreamConnections =>
+const createConnections = (
+    onPathLost: (address: string | undefined) => void,
+    through: Address = RELAY,
+): UpstreamConnections =>
     new UpstreamConnections({
         clock: new SystemClock(),
         self: "e:1",
         entries: () => ["e:1", "e:2"],
-        dialThrough: (...[, address]) => dialThroughRelay(RELAY, SECRET, address),
+        dialThrough: (...[, address]) => dialThroughRelay(through, SECRET, address),
         onRelayFailed: () => undefined,
         onPathLost,
     });
@@ -237,6 +248,58 @@
     }
 });
 
+/** Ends a relay as a planned stop of its instance does, once that has no requests of its own. */
+const stopRelay = (stopping: RelayServer): Promise<void> => Promise.resolve(stopping.dispose());
+
+// The callers of other instances must not notice that the relaying one is stopped.
+test("RelayServer: a planned stop lets relayed responses end", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    context.after(() => stopping.dispose());
+    await stopping.start();
+    const connections = createConnections(() => undefined, STOPPED_RELAY);
+    context.after(() => connections.dispose());
+    answer = async socket => {
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+        await sleep(500);
+        socket.write("6\r\n world\r\n0\r\n\r\n");
+    };
+    const results: string[] = [];
+    const sent = send(connections).then(result => results.push(result));
+    await sleep(100);
+    await stopRelay(stopping);
+    assert.deepEqual(results, ["hello world"]);
+    await sent;
+    await assert.rejects(dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS), /ECONNREFUSED/);
+});
+
+test("RelayServer: a planned stop waits neither for idle connections nor for one in constant use", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    context.after(() => stopping.dispose());
+    await stopping.start();
+    const connections = createConnections(() => undefined, STOPPED_RELAY);
+    context.after(() => connections.dispose());
+    const hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    answer = socket => {
+        socket.write(hello);
+        socket.on("data", () => setTimeout(() => socket.write(hello), 50));
+    };
+    const idle = await dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS);
+    context.after(() => idle.destroy());
+    const isIdleClosed = once(idle.resume(), "close");
+    const results = [await send(connections, 1)];
+    const sent = (async () => {
+        while (results.at(-1) === "hello") {
+            results.push(await send(connections, 1));
+        }
+    })();
+    await sleep(100);
+    await stopRelay(stopping);
+    await isIdleClosed;
+    await sent;
+    // Not a response that broke off: no request was under way when the connection was closed.
+    assert.match(results.at(-1) ?? "", /ECONNREFUSED/);
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
