A planned stop of an entry instance lets the responses that it relays end

Callers of other instances, whose requests go through an instance that is stopped, got responses that broke off: once that instance had no requests of its own, it closed all relayed connections at once, also those with a response in progress.

RelayServer has a planned stop of its own now, which the entry role awaits beside that of the callers' server, within the same time: it closes the listener, closes idle connections and each other one as soon as its current response is complete, and ends when none is left. The end of a connection follows the last byte of a response immediately, before the other instance uses the connection again. What is left at the end of the time is cut and logged.

--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -285,7 +285,7 @@
         await withTimeout(
             clock,
             Math.max(0, stopAt - clock.monotonic()),
-            this.callerServer?.stop() ?? Promise.resolve(),
+            Promise.all([this.callerServer?.stop(), this.relayServer?.stop()]),
         );
         if (this.handler.inFlight > 0) {
             log.warn("Open requests are aborted at the end of the grace period.", { inFlight: this.handler.inFlight });
--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -248,9 +248,6 @@
     }
 });
 
-/** Ends a relay as a planned stop of its instance does, once that has no requests of its own. */
-const stopRelay = (stopping: RelayServer): Promise<void> => Promise.resolve(stopping.dispose());
-
 // The callers of other instances must not notice that the relaying one is stopped.
 test("RelayServer: a planned stop lets relayed responses end", async context => {
     const stopping = createRelay(STOPPED_RELAY);
@@ -266,7 +263,7 @@
     const results: string[] = [];
     const sent = send(connections).then(result => results.push(result));
     await sleep(100);
-    await stopRelay(stopping);
+    await stopping.stop();
     assert.deepEqual(results, ["hello world"]);
     await sent;
     await assert.rejects(dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS), /ECONNREFUSED/);
@@ -293,7 +290,7 @@
         }
     })();
     await sleep(100);
-    await stopRelay(stopping);
+    await stopping.stop();
     await isIdleClosed;
     await sent;
     // Not a response that broke off: no request was under way when the connection was closed.
--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -44,10 +44,14 @@
     readonly dial: (address: string) => Promise<Socket>;
 }
 
+const relayIsStopping: RelayRefusal = { reason: "the relay is stopping", isByUpstream: false };
+
 interface RelayedConnection {
     readonly socket: Socket;
     readonly address: string;
     readonly heads: RelayedHeads;
+    /** Whether a response has passed. Before the first one a request is about to come. */
+    hasResponse: boolean;
     /** Monotonic time of the newest bytes, in ms. */
     usedAt: number;
 }
@@ -58,6 +62,7 @@
     private readonly connections = new Set<RelayedConnection>();
     private readonly checks: WakefulRepeat;
     private server: Server | undefined;
+    private isStopping = false;
 
     public constructor(deps: RelayServerDependencies) {
         super();
@@ -82,8 +87,23 @@
         });
     }
 
+    /**
+     * Planned stop: relays no new connections, and closes each open one after its current response. Resolves when none
+     * is left.
+     */
+    public stop(): Promise<void> {
+        this.isStopping = true;
+        const { server } = this;
+        const closed = new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+        this.checks.wake();
+        return closed;
+    }
+
     /** Closes the listener and all relayed connections. */
     private close(): void {
+        if (this.isStopping && this.connections.size > 0) {
+            this.deps.log.warn("Relayed connections are closed before the end.", { count: this.connections.size });
+        }
         this.server?.close();
         this.server?.closeAllConnections();
         this.connections.forEach(({ socket }) => socket.destroy());
@@ -94,12 +114,13 @@
      * connections are left. To be called when an upstream has said that it wants no requests.
      */
     public closeUnwanted(): boolean {
-        const { clock, refusal } = this.deps;
+        const { clock } = this.deps;
         const idleSince = clock.monotonic() - IDLE_AFTER_MS;
-        for (const { socket, address, usedAt, heads } of this.connections) {
+        for (const { socket, address, heads, hasResponse, usedAt } of this.connections) {
             // A response that doesn't tell where it ends is never complete: it ends with its connection.
-            const found = heads.areComplete ? refusal(address) : undefined;
-            if (found !== undefined && (found.isByUpstream || usedAt < idleSince)) {
+            const found = heads.areComplete ? this.refusalOf(address) : undefined;
+            const isDue = found?.isByUpstream === true || (this.isStopping && hasResponse);
+            if (found !== undefined && (isDue || usedAt < idleSince)) {
                 // Sends what is left of the response first.
                 socket.end();
             }
@@ -107,8 +128,12 @@
         return this.connections.size > 0;
     }
 
+    private refusalOf(address: string): RelayRefusal | undefined {
+        return this.deps.refusal(address) ?? (this.isStopping ? relayIsStopping : undefined);
+    }
+
     private async relay(req: IncomingMessage, socket: Duplex, head: Buffer): Promise<void> {
-        const { secret, refusal, dial, log } = this.deps;
+        const { secret, dial, log } = this.deps;
         const target = req.url ?? "";
         // A socket without a listener for errors would end the process.
         socket.on("error", () => socket.destroy());
@@ -121,7 +146,7 @@
             refuse(403, "not authorized");
             return;
         }
-        const found = refusal(target);
+        const found = this.refusalOf(target);
         if (found !== undefined) {
             refuse(503, found.reason);
             return;
@@ -141,7 +166,7 @@
     private connect(socket: Socket, upstream: Socket, address: string): void {
         const { clock, onResponse, refusal } = this.deps;
         const heads = new RelayedHeads(head => onResponse(address, head));
-        const connection = { socket, address, heads, usedAt: clock.monotonic() };
+        const connection = { socket, address, heads, hasResponse: false, usedAt: clock.monotonic() };
         this.connections.add(connection);
         this.checks.wake();
         socket.on("data", () => {
@@ -155,6 +180,7 @@
             heads.expectHead();
         });
         upstream.on("data", (chunk: Buffer) => {
+            connection.hasResponse = true;
             connection.usedAt = clock.monotonic();
             heads.push(chunk);
             if (heads.areComplete) {
