Test: the reason not to relay arises while a relayed connection is being established

Fails: the connection is handed out although its upstream is leaving, or the relay is stopping, by the time it is established ('Missing expected rejection').

--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -23,6 +23,7 @@
 let relay: RelayServer;
 let refusalReason: string | undefined;
 let isByUpstream = true;
+let dialDelayMs = 0;
 const relayedHeads: object[] = [];
 let answer = (socket: Socket): void | Promise<void> => void socket;
 
@@ -38,7 +39,8 @@
             const reason = isKnown ? refusalReason : "no upstream is known";
             return reason === undefined ? undefined : { reason, isByUpstream };
         },
-        dial: target => {
+        dial: async target => {
+            await sleep(dialDelayMs);
             const { port } = upstream.address() as AddressInfo;
             return dialDirect(target === LOST_ADDRESS ? `127.0.0.1:${port}` : target);
         },
@@ -297,6 +299,28 @@
     assert.match(results.at(-1) ?? "", /ECONNREFUSED/);
 });
 
+// A request that follows on such a connection would count as sent, and might not be repeated.
+test("RelayServer: a connection is refused if there is a reason when it is established", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    await stopping.start();
+    dialDelayMs = 100;
+    context.after(() => {
+        dialDelayMs = 0;
+        refusalReason = undefined;
+        stopping.dispose();
+    });
+    const isLeaving = assert.rejects(dialThroughRelay(RELAY, SECRET, LOST_ADDRESS), /is leaving/);
+    await sleep(50);
+    refusalReason = "the upstream is leaving";
+    await isLeaving;
+    refusalReason = undefined;
+    const isStopping = assert.rejects(dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS), /is stopping/);
+    await sleep(50);
+    const stopped = stopping.stop();
+    await isStopping;
+    await stopped;
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
