No connection is relayed that nobody wants any more when it is established

An instance whose upstream was leaving, or that was stopping, by the time a relayed connection was established handed it out all the same. The first request on it was then reset or cut; it counted as sent, so one that isn't idempotent got 502 although it had not run. The reasons are checked again once the connection is there, and the other instance goes on to another relay or upstream with a request that it hasn't sent.

--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -146,13 +146,22 @@
             refuse(403, "not authorized");
             return;
         }
-        const found = this.refusalOf(target);
-        if (found !== undefined) {
-            refuse(503, found.reason);
+        const refuseUnwanted = (): boolean => {
+            const found = this.refusalOf(target);
+            if (found !== undefined) {
+                refuse(503, found.reason);
+            }
+            return found !== undefined;
+        };
+        if (refuseUnwanted()) {
             return;
         }
         try {
             const upstream = await dial(target);
+            if (refuseUnwanted()) {
+                upstream.destroy();
+                return;
+            }
             socket.write("HTTP/1.1 200 Connected\r\n\r\n");
             upstream.write(head);
             this.connect(socket as Socket, upstream, target);
