--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -321,6 +321,25 @@
     await stopped;
 });
 
+test("RelayServer: a response that has arrived in full reaches a slow reader although its upstream resets the connection", async context => {
+    const body = Buffer.alloc(1024 * 1024, "x");
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n`;
+    answer = socket => {
+        socket.write(head);
+        socket.write(body, () => setTimeout(() => socket.resetAndDestroy(), 100));
+    };
+    const socket = await dialThroughRelay(RELAY, SECRET, LOST_ADDRESS);
+    context.after(() => socket.destroy());
+    socket.write("GET / HTTP/1.1\r\n\r\n");
+    await sleep(300);
+    let received = 0;
+    socket.on("data", chunk => {
+        received += chunk.length;
+    });
+    await once(socket, "close");
+    assert.equal(received, head.length + body.length);
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
