A relay delivers a complete response although its upstream resets the connection

A reset of the upstream's connection was passed on at once as a reset, which throws away all bytes that the relay had received and the other instance had not read yet, also the rest of a response that was complete. Only a reset within a response is passed on now; after a complete one the connection ends once the rest has been sent.

--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -171,7 +171,7 @@
         }
     }
 
-    /** Passes bytes on in both directions. A reset is passed on as a reset: the response before it is incomplete. */
+    /** Passes bytes on in both directions. A reset within a response is passed on as a reset. */
     private connect(socket: Socket, upstream: Socket, address: string): void {
         const { clock, onResponse, refusal } = this.deps;
         const heads = new RelayedHeads(head => onResponse(address, head));
@@ -203,7 +203,12 @@
             this.connections.delete(connection);
             upstream.destroy();
         });
-        upstream.once("error", () => socket.resetAndDestroy());
+        upstream.once("error", () => {
+            // What is left of a complete response is sent before the end of the connection.
+            if (!heads.areComplete) {
+                socket.resetAndDestroy();
+            }
+        });
         upstream.once("close", () => socket.end());
         if (socket.destroyed) {
             upstream.destroy();
