Test: closed and replaced connections drop no request, and short keep-alive times hold

Guards against requests that get lost when an upstream goes from the directory, or when its connections are replaced after a path was lost: those in progress, in the queue of the pool, and those whose connection is being established are all answered, and a refused connection fails all of them as not sent. Also: an upstream that keeps idle connections for a second gets a new one for each request, and only the request that crosses the end of a connection fails, as sent.

--- a/src/node/gateway/UpstreamConnections.test.ts
+++ b/src/node/gateway/UpstreamConnections.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { SystemClock } from "../time/SystemClock.ts";
 import { type Exchange, isFailure, UpstreamConnections } from "./UpstreamConnections.ts";
 
@@ -176,3 +177,115 @@
         server.close();
     }
 });
+
+/** Sends requests; resolves with the body of each, or with its failure and whether it was sent. */
+const sendAll = (connections: UpstreamConnections, count: number, address: string): Promise<string>[] =>
+    Array.from({ length: count }, async () => {
+        const request = { method: "GET", path: "/", headers: ["Host", "x"], body: undefined };
+        const sent = connections.send("u 1", address, 2, request);
+        const head = await sent.readHead();
+        const chunk = isFailure(head) ? head : await sent.readChunk();
+        return isFailure(chunk) ? `${chunk.message}, sent: ${chunk.wasSent}` : String(chunk);
+    });
+
+/** Resolves when the condition holds, or after two seconds. */
+const waitUntil = async (holds: () => boolean): Promise<void> => {
+    for (let waits = 0; waits < 400 && !holds(); waits++) {
+        await sleep(5);
+    }
+};
+
+// Connections are closed when an upstream has gone from the directory, and replaced when paths are lost.
+test("UpstreamConnections: closing them drops no request: in progress, queued, or waiting for its connection", async context => {
+    let closedSockets = 0;
+    const server = createServer(socket => {
+        socket.on("close", () => closedSockets++).on("error", () => undefined);
+        socket.on("data", () => {
+            setTimeout(() => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length}\r\n\r\n`), 50);
+            setTimeout(() => socket.write(BODY), 100);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const connections = createConnections();
+    context.after(() => {
+        connections.dispose();
+        server.close();
+    });
+    for (const closeAfterMs of [0, 10, 75]) {
+        const expectedSockets = closedSockets + 2;
+        const results = sendAll(connections, 5, `127.0.0.1:${port}`);
+        await sleep(closeAfterMs);
+        connections.close("u 1");
+        results.push(...sendAll(connections, 2, `127.0.0.1:${port}`));
+        assert.deepEqual(await Promise.all(results), Array(7).fill(BODY), `closed after ${closeAfterMs} ms`);
+        await waitUntil(() => closedSockets === expectedSockets);
+        assert.equal(closedSockets, expectedSockets, "the requests after the close have connections of their own");
+        connections.close("u 1");
+        await waitUntil(() => closedSockets === expectedSockets + 2);
+    }
+    const refused = sendAll(connections, 5, "127.0.0.1:1");
+    connections.close("u 1");
+    for (const result of await Promise.all(refused)) {
+        assert.match(result, /ECONNREFUSED.*, sent: false/);
+    }
+});
+
+// A request that is sent while the upstream closes its connection counts as run, and may not be repeated.
+test("UpstreamConnections: a connection that its upstream keeps for a second at most isn't used again", async context => {
+    let sockets = 0;
+    const server = createServer(socket => {
+        sockets++;
+        socket.on("error", () => undefined);
+        const head = `HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: ${BODY.length}\r\n\r\n`;
+        socket.on("data", () => socket.write(head + BODY));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const connections = createConnections();
+    context.after(() => {
+        connections.dispose();
+        server.close();
+    });
+    for (const count of [1, 2, 3]) {
+        assert.deepEqual(await Promise.all(sendAll(connections, 1, `127.0.0.1:${port}`)), [BODY]);
+        assert.equal(sockets, count);
+    }
+});
+
+test("UpstreamConnections: a request on a connection that its upstream closes at that moment fails as sent, and the next doesn't", async context => {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        let requests = 0;
+        socket.on("data", () => {
+            if (requests++ === 0) {
+                socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`);
+            }
+            else {
+                socket.end();
+            }
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const connections = createConnections();
+    context.after(() => {
+        connections.dispose();
+        server.close();
+    });
+    const send = async (): Promise<string | undefined> => (await Promise.all(sendAll(connections, 1, address)))[0];
+    assert.equal(await send(), BODY);
+    await sleep(20);
+    assert.equal(await send(), "other side closed, sent: true");
+    assert.equal(await send(), BODY);
+    await sleep(20);
+    sockets.at(-1)?.end();
+    await sleep(20);
+    assert.equal(await send(), BODY);
+    assert.equal(sockets.length, 3);
+});
