Upstreams that accept connections again don't make an instance take its paths for lost

While the listener of a sound upstream answers nothing, a direct connection attempt waits for the operating system to repeat it, which happens after about a second. An attempt of a relay that begins 150 ms later may meet the upstream after it has come back; it won, and the instance took its path, or all of its paths, for lost: for 3 s all new connections went through other instances, all pools were replaced, and a relayed response that states neither a length nor chunks counts as incomplete at its end.

A second direct attempt is made together with that of a relay. It has the shorter way, so it wins unless the path is lost. A lost path is noticed as early as before, and an attempt fails after the same time.

--- a/src/common/gateway/UpstreamPaths.ts
+++ b/src/common/gateway/UpstreamPaths.ts
@@ -93,7 +93,9 @@
 
     private async dialWithHeadStart(address: string, areSilent: boolean): Promise<DialedConnection<C>> {
         const { clock, dialDirect, discard } = this.deps;
-        const direct = dialDirect(address).then(connection => ({ connection, relay: undefined }));
+        const dial = (): Promise<DialedConnection<C>> =>
+            dialDirect(address).then(connection => ({ connection, relay: undefined }));
+        const direct = dial();
         const outcome = await Promise.race([
             direct.then(dialed => dialed, (err: unknown) => toError(err)),
             sleep(clock, HEAD_START_MS),
@@ -101,14 +103,20 @@
         if (outcome !== undefined && !(outcome instanceof Error)) {
             return outcome;
         }
+        // The operating system repeats an unanswered attempt after about a second. If the upstream accepts connections again
+        // before, one of another instance would seem to show that the path is lost.
+        const repeated = outcome === undefined ? [dial()] : [];
         const relayed = this.dialRelays(address).then(dialed => dialed ?? Promise.reject(new Error("no relay")));
-        const winner = await Promise.any([direct, relayed]).catch(() => undefined);
+        const attempts = [direct, ...repeated, relayed];
+        const winner = await Promise.race([Promise.any(attempts), Promise.any([direct, relayed])])
+            .catch(() => undefined);
+        for (const attempt of attempts) {
+            attempt.then(dialed => dialed === winner ? undefined : discard(dialed.connection), ignore);
+        }
         if (winner === undefined) {
             // Only rejects: the direct attempt has failed.
             return direct;
         }
-        const loser: Promise<DialedConnection<C>> = winner.relay === undefined ? relayed : direct;
-        loser.then(({ connection }) => discard(connection), ignore);
         if (winner.relay !== undefined) {
             this.recordLoss(address, areSilent);
         }
