Test: an upstream asks for a pause by a response without a body, over a relay

Fails: the response is lost. The other instance gets 'other side closed' instead of the status 503, by which the upstream states that it hasn't run the request. With a body of 4 bytes it arrives.

--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -24,6 +24,7 @@
 let refusalReason: string | undefined;
 let isByUpstream = true;
 let dialDelayMs = 0;
+let onRelayedHead = (status: number): void => void status;
 const relayedHeads: object[] = [];
 let answer = (socket: Socket): void | Promise<void> => void socket;
 
@@ -33,7 +34,10 @@
         secret: SECRET,
         log: createLog("relay", "fatal"),
         clock: new SystemClock(),
-        onResponse: (upstreamAddress, head) => relayedHeads.push({ address: upstreamAddress, ...head }),
+        onResponse: (upstreamAddress, head) => {
+            relayedHeads.push({ address: upstreamAddress, ...head });
+            onRelayedHead(head.status);
+        },
         refusal: target => {
             const isKnown = target === LOST_ADDRESS || target === DEAD_ADDRESS;
             const reason = isKnown ? refusalReason : "no upstream is known";
@@ -340,6 +344,27 @@
     assert.equal(received, head.length + body.length);
 });
 
+// The other instance would report a request as possibly run that the upstream has refused.
+test("RelayServer: a response by which an upstream asks for a pause arrives, also without a body", async context => {
+    context.after(() => {
+        refusalReason = undefined;
+        onRelayedHead = () => undefined;
+    });
+    onRelayedHead = status => {
+        if (status === 503) {
+            refusalReason = "the upstream wants no requests for a while";
+            relay.closeUnwanted();
+        }
+    };
+    for (const body of ["", "busy"]) {
+        refusalReason = undefined;
+        answer = socket => void socket.write(`HTTP/1.1 503 Busy\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        const connections = createConnections(() => undefined);
+        assert.equal(await send(connections), body);
+        connections.dispose();
+    }
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
