A relayed response without a body arrives although its upstream asks for a pause in it

What the head of a relayed response says took effect before its bytes were passed on. An upstream that wants no requests ends the relayed connections whose responses are complete, and a response without a body is complete with its head: the connection was ended first, and the response was lost. Callers of the other instance got 502 or a repeat for a request that the upstream had stated not to have run.

Bytes are passed on first now. A connection that is no longer wanted also ends directly after the last byte of a response, without a turn of the event loop between, in which the other instance might have sent a further request.

--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -188,12 +188,14 @@
             connection.usedAt = clock.monotonic();
             heads.expectHead();
         });
+        // The bytes of a response are passed on before what they say has an effect, which may end the connection.
+        upstream.pipe(socket);
         upstream.on("data", (chunk: Buffer) => {
             connection.hasResponse = true;
             connection.usedAt = clock.monotonic();
             heads.push(chunk);
             if (heads.areComplete) {
-                setImmediate(() => this.closeUnwanted());
+                this.closeUnwanted();
             }
         });
         socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
@@ -215,6 +217,5 @@
             return;
         }
         socket.pipe(upstream);
-        upstream.pipe(socket);
     }
 }
