--- a/src/node/gateway/RelayServer.test.ts
+++ b/src/node/gateway/RelayServer.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { UpstreamUnreachableError } from "../../common/gateway/UpstreamPaths.ts";
 import { createLog } from "../log/Log.ts";
+import { type Address } from "../settings/SettingsSchema.ts";
 import { SystemClock } from "../time/SystemClock.ts";
 import { dialThroughRelay } from "./RelayDialer.ts";
 import { RelayServer } from "./RelayServer.ts";
@@ -12,6 +13,8 @@
 
 const SECRET = "a secret of the tests";
 const RELAY = { host: "127.0.0.1", port: 17_431 };
+/** Address of relays that are stopped within a test. */
+const STOPPED_RELAY = { host: "127.0.0.81", port: 17_431 };
 /** Nothing listens there; the relay reaches the upstream instead, as if the path of the other instance were lost. */
 const LOST_ADDRESS = "127.0.0.1:1";
 const DEAD_ADDRESS = "127.0.0.1:2";
@@ -20,30 +23,41 @@
 let relay: RelayServer;
 let refusalReason: string | undefined;
 let isByUpstream = true;
+let dialDelayMs = 0;
+let onRelayedHead = (status: number): void => void status;
 const relayedHeads: object[] = [];
 let answer = (socket: Socket): void | Promise<void> => void socket;
 
-before(async () => {
-    upstream = createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => void answer(socket));
-    });
-    upstream.listen(0, "127.0.0.1");
-    await once(upstream, "listening");
-    const { port } = upstream.address() as AddressInfo;
-    relay = new RelayServer({
-        address: RELAY,
+const createRelay = (address: Address): RelayServer =>
+    new RelayServer({
+        address,
         secret: SECRET,
         log: createLog("relay", "fatal"),
         clock: new SystemClock(),
-        onResponse: (address, head) => relayedHeads.push({ address, ...head }),
-        refusal: address => {
-            const isKnown = address === LOST_ADDRESS || address === DEAD_ADDRESS;
+        onResponse: (upstreamAddress, head) => {
+            relayedHeads.push({ address: upstreamAddress, ...head });
+            onRelayedHead(head.status);
+        },
+        refusal: target => {
+            const isKnown = target === LOST_ADDRESS || target === DEAD_ADDRESS;
             const reason = isKnown ? refusalReason : "no upstream is known";
             return reason === undefined ? undefined : { reason, isByUpstream };
         },
-        dial: address => dialDirect(address === LOST_ADDRESS ? `127.0.0.1:${port}` : address),
+        dial: async target => {
+            await sleep(dialDelayMs);
+            const { port } = upstream.address() as AddressInfo;
+            return dialDirect(target === LOST_ADDRESS ? `127.0.0.1:${port}` : target);
+        },
+    });
+
+before(async () => {
+    upstream = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => void answer(socket));
     });
+    upstream.listen(0, "127.0.0.1");
+    await once(upstream, "listening");
+    relay = createRelay(RELAY);
     await relay.start();
 });
 
@@ -52,12 +66,15 @@
     upstream.close();
 });
 
-const createConnections = (onPathLost: (address: string | undefined) => void): UpstreamConnections =>
+const createConnections = (
+    onPathLost: (address: string | undefined) => void,
+    through: Address = RELAY,
+): UpstreamConnections =>
     new UpstreamConnections({
         clock: new SystemClock(),
         self: "e:1",
         entries: () => ["e:1", "e:2"],
-        dialThrough: (...[, address]) => dialThroughRelay(RELAY, SECRET, address),
+        dialThrough: (...[, address]) => dialThroughRelay(through, SECRET, address),
         onRelayFailed: () => undefined,
         onPathLost,
     });
@@ -214,6 +231,140 @@
     connections.dispose();
 });
 
+// An engine may be silent for a second: that must not look like an idle connection.
+test("RelayServer: a response that only its connection ends goes on after a pause, although no request is wanted", async context => {
+    context.after(() => {
+        refusalReason = undefined;
+        isByUpstream = true;
+    });
+    for (const source of ["upstream", "relay"]) {
+        isByUpstream = source === "upstream";
+        answer = async socket => {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nhello");
+            await sleep(50);
+            refusalReason = `the ${source} is leaving`;
+            await sleep(700);
+            socket.end(" world");
+        };
+        const connections = createConnections(() => undefined);
+        const result = await send(connections);
+        connections.dispose();
+        refusalReason = undefined;
+        assert.match(result, /^hello world, then /, source);
+    }
+});
+
+// The callers of other instances must not notice that the relaying one is stopped.
+test("RelayServer: a planned stop lets relayed responses end", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    context.after(() => stopping.dispose());
+    await stopping.start();
+    const connections = createConnections(() => undefined, STOPPED_RELAY);
+    context.after(() => connections.dispose());
+    answer = async socket => {
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+        await sleep(500);
+        socket.write("6\r\n world\r\n0\r\n\r\n");
+    };
+    const results: string[] = [];
+    const sent = send(connections).then(result => results.push(result));
+    await sleep(100);
+    await stopping.stop();
+    assert.deepEqual(results, ["hello world"]);
+    await sent;
+    await assert.rejects(dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS), /ECONNREFUSED/);
+});
+
+test("RelayServer: a planned stop waits neither for idle connections nor for one in constant use", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    context.after(() => stopping.dispose());
+    await stopping.start();
+    const connections = createConnections(() => undefined, STOPPED_RELAY);
+    context.after(() => connections.dispose());
+    const hello = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    answer = socket => {
+        socket.write(hello);
+        socket.on("data", () => setTimeout(() => socket.write(hello), 50));
+    };
+    const idle = await dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS);
+    context.after(() => idle.destroy());
+    const isIdleClosed = once(idle.resume(), "close");
+    const results = [await send(connections, 1)];
+    const sent = (async () => {
+        while (results.at(-1) === "hello") {
+            results.push(await send(connections, 1));
+        }
+    })();
+    await sleep(100);
+    await stopping.stop();
+    await isIdleClosed;
+    await sent;
+    // Not a response that broke off: no request was under way when the connection was closed.
+    assert.match(results.at(-1) ?? "", /ECONNREFUSED/);
+});
+
+// A request that follows on such a connection would count as sent, and might not be repeated.
+test("RelayServer: a connection is refused if there is a reason when it is established", async context => {
+    const stopping = createRelay(STOPPED_RELAY);
+    await stopping.start();
+    dialDelayMs = 100;
+    context.after(() => {
+        dialDelayMs = 0;
+        refusalReason = undefined;
+        stopping.dispose();
+    });
+    const isLeaving = assert.rejects(dialThroughRelay(RELAY, SECRET, LOST_ADDRESS), /is leaving/);
+    await sleep(50);
+    refusalReason = "the upstream is leaving";
+    await isLeaving;
+    refusalReason = undefined;
+    const isStopping = assert.rejects(dialThroughRelay(STOPPED_RELAY, SECRET, LOST_ADDRESS), /is stopping/);
+    await sleep(50);
+    const stopped = stopping.stop();
+    await isStopping;
+    await stopped;
+});
+
+test("RelayServer: a response that has arrived in full reaches a slow reader although its upstream resets the connection", async context => {
+    const body = Buffer.alloc(1024 * 1024, "x");
+    const head = `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n`;
+    answer = socket => {
+        socket.write(head);
+        socket.write(body, () => setTimeout(() => socket.resetAndDestroy(), 100));
+    };
+    const socket = await dialThroughRelay(RELAY, SECRET, LOST_ADDRESS);
+    context.after(() => socket.destroy());
+    socket.write("GET / HTTP/1.1\r\n\r\n");
+    await sleep(300);
+    let received = 0;
+    socket.on("data", chunk => {
+        received += chunk.length;
+    });
+    await once(socket, "close");
+    assert.equal(received, head.length + body.length);
+});
+
+// The other instance would report a request as possibly run that the upstream has refused.
+test("RelayServer: a response by which an upstream asks for a pause arrives, also without a body", async context => {
+    context.after(() => {
+        refusalReason = undefined;
+        onRelayedHead = () => undefined;
+    });
+    onRelayedHead = status => {
+        if (status === 503) {
+            refusalReason = "the upstream wants no requests for a while";
+            relay.closeUnwanted();
+        }
+    };
+    for (const body of ["", "busy"]) {
+        refusalReason = undefined;
+        answer = socket => void socket.write(`HTTP/1.1 503 Busy\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        const connections = createConnections(() => undefined);
+        assert.equal(await send(connections), body);
+        connections.dispose();
+    }
+});
+
 test("RelayServer: refuses without authorization, for unknown targets, and while it can't relay", async () => {
     await assert.rejects(dialThroughRelay(RELAY, "another secret of tests", LOST_ADDRESS), /not authorized/);
     await assert.rejects(dialThroughRelay(RELAY, SECRET, "127.0.0.1:3"), /no upstream/);
--- a/src/node/gateway/RelayServer.ts
+++ b/src/node/gateway/RelayServer.ts
@@ -44,12 +44,14 @@
     readonly dial: (address: string) => Promise<Socket>;
 }
 
+const relayIsStopping: RelayRefusal = { reason: "the relay is stopping", isByUpstream: false };
+
 interface RelayedConnection {
     readonly socket: Socket;
     readonly address: string;
     readonly heads: RelayedHeads;
-    /** Whether the newest bytes came from the upstream, so that no request waits for its answer. */
-    isAnswered: boolean;
+    /** Whether a response has passed. Before the first one a request is about to come. */
+    hasResponse: boolean;
     /** Monotonic time of the newest bytes, in ms. */
     usedAt: number;
 }
@@ -60,6 +62,7 @@
     private readonly connections = new Set<RelayedConnection>();
     private readonly checks: WakefulRepeat;
     private server: Server | undefined;
+    private isStopping = false;
 
     public constructor(deps: RelayServerDependencies) {
         super();
@@ -84,8 +87,23 @@
         });
     }
 
+    /**
+     * Planned stop: relays no new connections, and closes each open one after its current response. Resolves when none
+     * is left.
+     */
+    public stop(): Promise<void> {
+        this.isStopping = true;
+        const { server } = this;
+        const closed = new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()));
+        this.checks.wake();
+        return closed;
+    }
+
     /** Closes the listener and all relayed connections. */
     private close(): void {
+        if (this.isStopping && this.connections.size > 0) {
+            this.deps.log.warn("Relayed connections are closed before the end.", { count: this.connections.size });
+        }
         this.server?.close();
         this.server?.closeAllConnections();
         this.connections.forEach(({ socket }) => socket.destroy());
@@ -96,14 +114,13 @@
      * connections are left. To be called when an upstream has said that it wants no requests.
      */
     public closeUnwanted(): boolean {
-        const { clock, refusal } = this.deps;
+        const { clock } = this.deps;
         const idleSince = clock.monotonic() - IDLE_AFTER_MS;
-        for (const { socket, address, isAnswered, usedAt, heads } of this.connections) {
-            const isIdle = isAnswered && usedAt < idleSince;
-            // A response that tells where it ends may pause for any time before.
-            const mayBeOver = heads.areComplete || (isIdle && !heads.isEndKnown);
-            const found = mayBeOver ? refusal(address) : undefined;
-            if (found !== undefined && (isIdle || found.isByUpstream)) {
+        for (const { socket, address, heads, hasResponse, usedAt } of this.connections) {
+            // A response that doesn't tell where it ends is never complete: it ends with its connection.
+            const found = heads.areComplete ? this.refusalOf(address) : undefined;
+            const isDue = found?.isByUpstream === true || (this.isStopping && hasResponse);
+            if (found !== undefined && (isDue || usedAt < idleSince)) {
                 // Sends what is left of the response first.
                 socket.end();
             }
@@ -111,8 +128,12 @@
         return this.connections.size > 0;
     }
 
+    private refusalOf(address: string): RelayRefusal | undefined {
+        return this.deps.refusal(address) ?? (this.isStopping ? relayIsStopping : undefined);
+    }
+
     private async relay(req: IncomingMessage, socket: Duplex, head: Buffer): Promise<void> {
-        const { secret, refusal, dial, log } = this.deps;
+        const { secret, dial, log } = this.deps;
         const target = req.url ?? "";
         // A socket without a listener for errors would end the process.
         socket.on("error", () => socket.destroy());
@@ -125,13 +146,22 @@
             refuse(403, "not authorized");
             return;
         }
-        const found = refusal(target);
-        if (found !== undefined) {
-            refuse(503, found.reason);
+        const refuseUnwanted = (): boolean => {
+            const found = this.refusalOf(target);
+            if (found !== undefined) {
+                refuse(503, found.reason);
+            }
+            return found !== undefined;
+        };
+        if (refuseUnwanted()) {
             return;
         }
         try {
             const upstream = await dial(target);
+            if (refuseUnwanted()) {
+                upstream.destroy();
+                return;
+            }
             socket.write("HTTP/1.1 200 Connected\r\n\r\n");
             upstream.write(head);
             this.connect(socket as Socket, upstream, target);
@@ -141,15 +171,11 @@
         }
     }
 
-    /** Passes bytes on in both directions. A reset is passed on as a reset: the response before it is incomplete. */
+    /** Passes bytes on in both directions. A reset within a response is passed on as a reset. */
     private connect(socket: Socket, upstream: Socket, address: string): void {
         const { clock, onResponse, refusal } = this.deps;
         const heads = new RelayedHeads(head => onResponse(address, head));
-        const connection = { socket, address, heads, isAnswered: true, usedAt: clock.monotonic() };
-        const recordUse = (isAnswered: boolean): void => {
-            connection.isAnswered = isAnswered;
-            connection.usedAt = clock.monotonic();
-        };
+        const connection = { socket, address, heads, hasResponse: false, usedAt: clock.monotonic() };
         this.connections.add(connection);
         this.checks.wake();
         socket.on("data", () => {
@@ -159,14 +185,17 @@
                 socket.resetAndDestroy();
                 return;
             }
-            recordUse(false);
+            connection.usedAt = clock.monotonic();
             heads.expectHead();
         });
+        // The bytes of a response are passed on before what they say has an effect, which may end the connection.
+        upstream.pipe(socket);
         upstream.on("data", (chunk: Buffer) => {
-            recordUse(true);
+            connection.hasResponse = true;
+            connection.usedAt = clock.monotonic();
             heads.push(chunk);
             if (heads.areComplete) {
-                setImmediate(() => this.closeUnwanted());
+                this.closeUnwanted();
             }
         });
         socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
@@ -176,13 +205,17 @@
             this.connections.delete(connection);
             upstream.destroy();
         });
-        upstream.once("error", () => socket.resetAndDestroy());
+        upstream.once("error", () => {
+            // What is left of a complete response is sent before the end of the connection.
+            if (!heads.areComplete) {
+                socket.resetAndDestroy();
+            }
+        });
         upstream.once("close", () => socket.end());
         if (socket.destroyed) {
             upstream.destroy();
             return;
         }
         socket.pipe(upstream);
-        upstream.pipe(socket);
     }
 }
