Connections are kept for as long as their callers were told

A caller whose response was in progress when a configuration lowered idle_timeout_ms found its connection closed before the time that Keep-Alive of this response allows: Node.js writes the header by the timeout at the arrival of the request, and applies the one at the end of the response. A connection whose timeout expires is now closed only when the time that its newest response allows is over.

--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -7,6 +7,7 @@
 import { type Component } from "../../common/lifecycle/Lifecycle.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
 import { type Certificates } from "./Certificates.ts";
+import { manageKeptConnections } from "./KeptConnections.ts";
 
 /** Answers a request. Must not reject: the handler answers failures too. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
@@ -78,6 +79,7 @@
         const server = this.createServer(this.createListener());
         server.maxHeadersCount = this.limits.maxHeaders;
         server.maxConnections = this.limits.maxConnections;
+        manageKeptConnections(server);
         this.server = server;
         await this.listen(server);
     }
