Responses in progress are not cut by a faulty request that follows on their connection

A caller whose whole request was being answered lost the response, or got 400 for it, when what followed on the connection could not be read, or did not arrive within header_timeout_ms, which a configuration may lower at that time: Node.js destroys the connection by default. A caller that closes its side counts as gone as before: its close can't be told from a half-close, and an engine must not go on working for it.

--- a/src/node/http/ConnectionTimeouts.test.ts
+++ b/src/node/http/ConnectionTimeouts.test.ts
@@ -134,3 +134,45 @@
         await caller.closed;
     });
 }
+
+for (const [what, next] of [["nothing", ""], ["an incomplete request", "GET /b HT"]] as const) {
+    test(`Timeouts: a caller that has closed its side counts as gone, after a whole request and ${what}`, async t => {
+        const { handle, arrived } = createHeld();
+        let hasLeft = (): void => undefined;
+        const left = new Promise<void>(resolve => {
+            hasLeft = resolve;
+        });
+        const server = await start(t, (req, res) => {
+            res.once("close", hasLeft);
+            handle(req, res);
+        });
+        const caller = new Caller(server);
+        caller.socket.write(REQUEST);
+        await arrived;
+        server.setTimeouts({ ...LONG, headerTimeoutMs: 100 });
+        caller.socket.write(next);
+        await pause(CHECKED_MS);
+        assert.ok(!caller.socket.destroyed, "the connection is open");
+        caller.socket.end();
+        await left;
+    });
+}
+
+test("Timeouts: a request that arrives after the header timeout, while another is being answered, is answered", async t => {
+    const { handle, release, arrived } = createHeld();
+    const server = await start(t, handle);
+    const caller = new Caller(server);
+    caller.socket.write(REQUEST);
+    await arrived;
+    server.setTimeouts({ ...LONG, headerTimeoutMs: 100 });
+    caller.socket.write(REQUEST.slice(0, 9));
+    await pause(CHECKED_MS);
+    caller.socket.write(REQUEST.slice(9));
+    await pause(CHECKED_MS);
+    release();
+    await caller.receive("complete");
+    await caller.receive("HTTP/1.1 200 OK\r\n");
+    await pause(100);
+    assert.equal(caller.received.match(/HTTP\/1.1 200 OK[^]*?complete/g)?.length, 2);
+    assert.doesNotMatch(caller.received, /408/);
+});
--- a/src/node/http/KeptConnections.ts
+++ b/src/node/http/KeptConnections.ts
@@ -1,10 +1,21 @@
 /**
  * Decides when a server closes the connections of callers that keep them for several requests. Node.js applies the timeout
- * in force when a response ends, though the response has told the caller the one in force when its request arrived.
+ * in force when a response ends, though the response has told the caller the one in force when its request arrived; and a
+ * faulty request makes it destroy the connection together with the responses to the whole requests before it.
  */
-import { type Server, type ServerResponse } from "node:http";
+import { type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { type Duplex } from "node:stream";
 
+/** Status of the response to a request that can't be read, by error code. */
+const statuses: Readonly<Record<string, number>> = {
+    HPE_HEADER_OVERFLOW: 431,
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+const DEFAULT_STATUS = 400;
+/** The caller has closed its side within a request. */
+const UNEXPECTED_END = "HPE_INVALID_EOF_STATE";
+
 /** Newest request on a connection. */
 interface NewestRequest {
     readonly res: ServerResponse;
@@ -15,9 +26,15 @@
 /** Must be called before the server accepts connections. */
 export const manageKeptConnections = (server: Server): void => {
     const newest = new WeakMap<Duplex, NewestRequest>();
+    /** Responses that are not complete, by connection. */
+    const open = new WeakMap<Duplex, Set<ServerResponse>>();
+    const failed = new WeakSet<Duplex>();
 
     server.on("request", ({ socket }, res) => {
         newest.set(socket, { res, allowedMs: server.keepAliveTimeout });
+        const responses = open.get(socket) ?? new Set();
+        open.set(socket, responses.add(res));
+        res.once("close", () => responses.delete(res));
     });
 
     server.on("timeout", socket => {
@@ -31,4 +48,35 @@
             socket.destroy();
         }
     });
+
+    server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
+        const isRequestFault = code !== UNEXPECTED_END
+            && (code.startsWith("HPE_") || code === "ERR_HTTP_REQUEST_TIMEOUT");
+        const last = newest.get(socket)?.res;
+        const close = (): void => {
+            const responses = [...open.get(socket) ?? []];
+            const whole = responses.find(({ req }) => req.complete);
+            if (isRequestFault && whole !== undefined) {
+                whole.once("close", close);
+            }
+            else if (responses.length > 0 || last === newest.get(socket)?.res) {
+                refuse(socket, statuses[code] ?? DEFAULT_STATUS, responses);
+            }
+            else {
+                // The request that took too long to arrive has arrived since, and has been answered.
+                failed.delete(socket);
+            }
+        };
+        if (!isRequestFault || !failed.has(socket)) {
+            failed.add(socket);
+            close();
+        }
+    });
+};
+
+const refuse = (socket: Duplex, status: number, open: readonly ServerResponse[]): void => {
+    if (socket.writable && !open.some(({ headersSent }) => headersSent)) {
+        socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+    }
+    socket.destroy();
 };
