Timeouts of a configuration that arrives before the listener is open are in force

Where the first configuration was applied before the caller server had started, setTimeouts had no effect: callers were told 65 s of idleness instead of idle_timeout_ms (4 s in the test), and heads had 30 s, until the next configuration. The server now remembers the timeouts and applies them when it starts.

--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -53,6 +53,8 @@
     private readonly createListener: () => RequestListener;
     private readonly options: HttpServerOptions;
     private server: Server | undefined;
+    /** Undefined until they are set; the server then starts with its own. */
+    private timeouts: ConnectionTimeouts | undefined;
 
     /** @param createListener called once, when the server starts */
     public constructor(
@@ -81,11 +83,16 @@
         server.maxConnections = this.limits.maxConnections;
         manageKeptConnections(server);
         this.server = server;
+        if (this.timeouts !== undefined) {
+            this.setTimeouts(this.timeouts);
+        }
         await this.listen(server);
     }
 
-    /** Changes the timeouts of idle connections and of those accepted from now on. */
-    public setTimeouts({ headerTimeoutMs, idleTimeoutMs }: ConnectionTimeouts): void {
+    /** Sets the timeouts of requests that are being received, and of connections whose next response allows to be idle. */
+    public setTimeouts(timeouts: ConnectionTimeouts): void {
+        const { headerTimeoutMs, idleTimeoutMs } = timeouts;
+        this.timeouts = timeouts;
         if (this.server !== undefined) {
             this.server.headersTimeout = headerTimeoutMs;
             this.server.keepAliveTimeout = idleTimeoutMs;
