--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -10,6 +10,7 @@
 import { weightedChoice } from "../../common/routing/Hash.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { CallerReply } from "./CallerReply.ts";
+import { readBody } from "./RequestBody.ts";
 import { type RequestLog } from "./RequestLog.ts";
 import { type Call, type CallResult, type CallState, QUARANTINED, type RequestRouter } from "./RequestRouter.ts";
 
@@ -242,25 +243,3 @@
 /** Hash of method, path, API key and body. */
 const fingerprintOf = (req: CallerRequest, body: Buffer | undefined): string =>
     shortHash(`${req.method} ${req.path} ${req.key ?? ""} `, body ?? "");
-
-/** Reads the whole body; with a limit of 0 it is read to its end and discarded. */
-const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | undefined | "tooLarge" | "broken"> => {
-    const hasBody = req.headers["content-length"] !== undefined || req.headers["transfer-encoding"] !== undefined;
-    if (!hasBody || req.headers["content-length"] === "0") {
-        req.resume();
-        return Promise.resolve(req.headers["content-length"] === "0" ? Buffer.alloc(0) : undefined);
-    }
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        req.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size <= limit) {
-                chunks.push(chunk);
-            }
-        });
-        req.once("end", () => resolve(size > limit ? "tooLarge" : Buffer.concat(chunks)));
-        req.once("close", () => resolve("broken"));
-        req.once("error", () => resolve("broken"));
-    });
-};
