An entry instance doesn't serve by an old configuration after one that it can't read

Where reading the newest configuration failed, as after an upgrade of the control instances only, the error was thrown into the follower, which had stored the revision already: the next confirmation renewed the lease, and the instance went on to serve routes and keys that were no longer in force, ready and without a word in its log. Now it logs an error with the version and the reason, reports not ready and refuses requests with 503 until the next configuration; requests in progress go on.

--- a/src/common/gateway/RouteTable.ts
+++ b/src/common/gateway/RouteTable.ts
@@ -44,3 +44,20 @@
         return this.byService.get(name);
     }
 }
+
+/**
+ * Undefined if `read` throws, as after an upgrade of the control instances only. The configuration before is not in force
+ * any more, so requests must then be refused: the lease to serve them is renewed all the same.
+ */
+export const readRouteTable = (
+    read: () => GatewayConfig,
+    onUnreadable: (err: Error) => void,
+): RouteTable | undefined => {
+    try {
+        return new RouteTable(read());
+    }
+    catch (err) {
+        onUnreadable(err as Error);
+        return undefined;
+    }
+};
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -29,7 +29,7 @@
     readonly codec: ExchangeCodec;
     readonly router: RequestRouter;
     readonly log: RequestLog;
-    /** Undefined until a configuration has been received. */
+    /** Undefined until a configuration has been received, and while it can't be read. */
     readonly routeTable: () => RouteTable | undefined;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
@@ -183,7 +183,7 @@
         }
         const table = this.deps.routeTable();
         if (table === undefined || !this.deps.hasLease()) {
-            const reason = table === undefined ? "no configuration has been received" : "cut off from control";
+            const reason = table === undefined ? "no configuration is in force" : "cut off from control";
             return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
         }
         const path = request.path.split("?", 1)[0] ?? "/";
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -13,7 +13,7 @@
 import { RatePermitIssuer } from "../../common/gateway/RatePermitIssuer.ts";
 import { RatePermits } from "../../common/gateway/RatePermits.ts";
 import { createRolloutSchedule } from "../../common/gateway/RolloutPlan.ts";
-import { RouteTable } from "../../common/gateway/RouteTable.ts";
+import { readRouteTable, type RouteTable } from "../../common/gateway/RouteTable.ts";
 import { ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { SessionVersions } from "../../common/gateway/SessionVersions.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
@@ -241,7 +241,7 @@
             return "the instance is stopping";
         }
         if (this.configVersion === undefined) {
-            return "no configuration has been received";
+            return "no configuration is in force";
         }
         return this.hasLease ? undefined : "the instance is cut off from the control majority";
     }
@@ -426,12 +426,15 @@
 
     private applyFleet(fleet: Fleet): void {
         const { log, readConfig } = this.deps;
-        if (fleet.configText !== "" && fleet.configVersion !== this.routeTable?.config.version) {
-            this.routeTable = new RouteTable(readConfig(fleet.configText));
-            const { headerTimeoutMs, idleTimeoutMs } = this.routeTable.config.limits;
-            this.callerServer?.setTimeouts({ headerTimeoutMs, idleTimeoutMs });
+        const { revision, configText, configVersion: version, rollouts, drainedDomains } = fleet;
+        if (configText !== "" && version !== this.routeTable?.config.version) {
+            const onUnreadable = ({ message: reason }: Error): void =>
+                log.error("The configuration can't be read; requests are refused.", { version, reason });
+            this.routeTable = readRouteTable(() => readConfig(configText), onUnreadable);
+            if (this.routeTable !== undefined) {
+                this.callerServer?.setTimeouts(this.routeTable.config.limits);
+            }
         }
-        const { revision, configVersion: version, rollouts, drainedDomains } = fleet;
         log.info("A revision of the fleet is in force here.", { revision, version, rollouts, drainedDomains });
     }
 
