--- a/src/common/gateway/WaitingRequests.test.ts
+++ b/src/common/gateway/WaitingRequests.test.ts
@@ -11,6 +11,8 @@
     type ScenarioKind,
     servedP95,
 } from "../../../addons/fakes/QueueScenario.ts";
+import { ManualClock } from "../time/ManualClock.ts";
+import { WaitingRequests, type WaitRequest } from "./WaitingRequests.ts";
 
 /** Seeds of each test; `QUEUE_SEEDS=20` plays more of them by hand, and `QUEUE_FIGURES=1` prints what was measured. */
 const SEEDS = Array.from({ length: Number(process.env["QUEUE_SEEDS"] ?? 1) }, (...[, index]) => index + 1);
@@ -224,3 +226,37 @@
         }
     }
 });
+
+test("Waiting: a request that can't be tried fails alone; the others are sent or refused, those refused in the same pass too", async () => {
+    const clock = new ManualClock(1000);
+    const waiting = new WaitingRequests<number>({ clock, onFull: () => undefined });
+    let isFaulty = false;
+    let hasRoom = false;
+    const wait = (id: string, deadlineMs: number, start: WaitRequest<number>["start"]): Promise<string> => {
+        const times = { objectiveMs: 3000, workMs: 0, arrivedAt: clock.monotonic(), waitsSince: clock.monotonic() };
+        const req = { id, account: id, priority: 1, cost: 1, bytes: 0, isRepeat: false, key: () => id, ...times };
+        return waiting.wait("s", { ...req, deadlineAt: clock.monotonic() + deadlineMs, start }).then(
+            result => result === "callerLeft" ? result : Object.keys(result).join(),
+            (err: Error) => err.message,
+        );
+    };
+    const startIfRoom: WaitRequest<number>["start"] = () => hasRoom ? { result: "sent", value: 1 } : undefined;
+    const results = [
+        wait("late", 60, () => undefined),
+        wait("faulty", 20_000, () => {
+            if (isFaulty) {
+                throw new Error("fault");
+            }
+            return undefined;
+        }),
+        wait("sound", 20_000, startIfRoom),
+    ];
+    clock.advance(40);
+    isFaulty = true;
+    clock.advance(40);
+    hasRoom = true;
+    clock.advance(40);
+    assert.deepEqual(await Promise.all(results), ["refusal", "fault", "value"]);
+    assert.equal(waiting.length, 0);
+    waiting.dispose();
+});
--- a/src/node/gateway/QueuedSelection.test.ts
+++ b/src/node/gateway/QueuedSelection.test.ts
@@ -6,15 +6,22 @@
 import { createLog } from "../log/Log.ts";
 import { GatewayMetrics } from "./GatewayMetrics.ts";
 import { QueuedSelection } from "./QueuedSelection.ts";
-import { type Call, type CallState } from "./RequestRouter.ts";
+import { type Call, type CallState, type FinalFailure } from "./RequestRouter.ts";
 
 const selection = { name: "engine 1", record: { id: "engine", slots: 24 } } as unknown as Selection;
 
 /** An engine without any limit, on which 24 requests run and some wait. */
-const createQueued = (clock: ManualClock, waitingThere: () => number): QueuedSelection => {
+const createQueued = (
+    clock: ManualClock,
+    waitingThere: () => number,
+    isRemoved = (): boolean => false,
+    statesSlowdown = (): boolean => true,
+): QueuedSelection => {
     const take = ({ hasRoom }: SelectionRequest): Selection | undefined => {
         const occupancy = { isEngine: true, slots: 24, present: 24 + waitingThere(), waiting: waitingThere() };
-        return hasRoom === undefined || hasRoom({ ...occupancy, reportAgeMs: 10 }) ? selection : undefined;
+        return !isRemoved() && (hasRoom === undefined || hasRoom({ ...occupancy, reportAgeMs: 10 }))
+            ? selection
+            : undefined;
     };
     const selector = {
         select: take,
@@ -24,14 +31,14 @@
     return new QueuedSelection({
         clock,
         selector: selector as unknown as UpstreamSelector,
-        upstreamStats: { statesSlowdown: () => true } as unknown as UpstreamStatistics,
+        upstreamStats: { statesSlowdown } as unknown as UpstreamStatistics,
         hasLease: () => true,
         log: createLog("test", "fatal"),
         metrics: new GatewayMetrics(),
     });
 };
 
-const call = (clock: ManualClock): Call => ({
+const call = (clock: ManualClock, hasBegun = false): Call => ({
     req: { id: "r", prompt: { tokens: 12_000, maxOutput: 100, segments: [] } },
     route: { objectiveMs: 3000, priority: 0, kind: "stream" },
     service: { name: "s", engineSlots: 24 },
@@ -40,7 +47,7 @@
     keys: { request: () => "key" },
     arrivedAt: clock.monotonic(),
     deadlineAt: clock.monotonic() + 20_000,
-    reply: { hasBegun: false, onCallerGone: () => undefined },
+    reply: { hasBegun, onCallerGone: () => undefined },
 } as unknown as Call);
 
 const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
@@ -74,3 +81,42 @@
     queued.dispose();
     assert.equal((await result as { retryAfterMs: number; }).retryAfterMs, 50);
 });
+
+for (const hasBegun of [false, true]) {
+    test(`QueuedSelection: a request whose service is removed is refused at once, begun: ${hasBegun}`, async () => {
+        const clock = new ManualClock(1000);
+        let isRemoved = false;
+        const queued = createQueued(clock, () => 10, () => isRemoved);
+        const state = { upstreamIds: [], possibleRuns: 0 } as unknown as CallState;
+        const wanted = { tried: new Set() } as unknown as SelectionRequest;
+        const select = queued.create(call(clock, hasBegun), state, () => wanted);
+        let result: unknown;
+        void select?.().then(value => {
+            result = value;
+        });
+        clock.advance(300);
+        await settle();
+        assert.equal(result, undefined);
+        isRemoved = true;
+        clock.advance(200);
+        await settle();
+        assert.equal((result as FinalFailure | undefined)?.retryAfterMs, 50);
+        queued.dispose();
+    });
+}
+
+test("QueuedSelection: requests that wait are sent although their service states no slowdown any more", async () => {
+    const clock = new ManualClock(1000);
+    let waitingThere = 10;
+    let statesSlowdown = true;
+    const queued = createQueued(clock, () => waitingThere, undefined, () => statesSlowdown);
+    const state = { upstreamIds: [], possibleRuns: 0 } as unknown as CallState;
+    const wanted = { tried: new Set() } as unknown as SelectionRequest;
+    const results = [1, 2, 3].map(() => queued.create(call(clock), state, () => wanted)?.());
+    clock.advance(300);
+    statesSlowdown = false;
+    waitingThere = 0;
+    clock.advance(100);
+    assert.deepEqual(await Promise.all(results), [selection, selection, selection]);
+    queued.dispose();
+});
