A waiting request that can't be tried fails alone

An error in the selection for one waiting request was thrown out of the queue's timer, which ends the process; short of that, no request of the queue would have been sent or refused any more, and refusals that the pass had already decided were lost: the requests had left the queue, and their callers were not told.

--- a/src/common/gateway/WaitingRequests.ts
+++ b/src/common/gateway/WaitingRequests.ts
@@ -55,6 +55,7 @@
 
 interface Ticket<S> extends WaitRequest<S> {
     readonly resolve: (result: WaitResult<S>) => void;
+    readonly reject: (err: Error) => void;
 }
 
 interface ServiceQueue<S> {
@@ -125,21 +126,25 @@
     }
 
     /**
-     * Waits until `start` has sent the request, or the request is refused. A request for which this is called again has
-     * been taken out in vain, and keeps its place.
+     * Waits until `start` has sent the request, or the request is refused. Rejects if `start` throws. A request for which
+     * this is called again has been taken out in vain, and keeps its place.
      */
     public wait(service: string, req: WaitRequest<S>): Promise<WaitResult<S>> {
         if (this.isDisposed) {
             return Promise.resolve(stoppedResult);
         }
         const known = this.serviceOf(service);
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             const ticket: Ticket<S> = {
                 ...req,
                 resolve: result => {
                     this.open.delete(ticket);
                     resolve(result);
                 },
+                reject: err => {
+                    this.open.delete(ticket);
+                    reject(err);
+                },
             };
             this.open.add(ticket);
             const previous = this.tickets.get(req);
@@ -212,13 +217,20 @@
         known.isFull &&= !queue.isShorterThan(FULL_FRACTION);
     }
 
+    /** An error is passed to the request that caused it: thrown, it would keep all others of the queue waiting. */
     private start(ticket: Ticket<S>): StartResult {
-        const started = ticket.start();
-        if (started === undefined) {
-            return "held";
+        try {
+            const started = ticket.start();
+            if (started === undefined) {
+                return "held";
+            }
+            ticket.resolve({ value: started.value });
+            return started.result;
+        }
+        catch (err) {
+            ticket.reject(err as Error);
+            return "left";
         }
-        ticket.resolve({ value: started.value });
-        return started.result;
     }
 
     private refuse(service: string, known: ServiceQueue<S>, refusal: QueueRefusal<Ticket<S>>): void {
