Requests that wait for a service that has been removed are refused at once

When a configuration removed a service whose upstreams were gone, the requests that waited for it in the queue went on to wait: a stream for 2.55 s of an objective of 3 s, one that may have run for 18.3 s of its 20 s (trial), though nothing could serve them any more, and a repeat would have gone by the new configuration at once. They are now refused within 100 ms of the change, with a Retry-After of 50 ms, and counted as refused by removal. While an upstream of the service is ready, they wait as before.

--- a/src/common/gateway/RouteTable.ts
+++ b/src/common/gateway/RouteTable.ts
@@ -40,6 +40,10 @@
         return this.byKey.get(key);
     }
 
+    public hasService(name: string): boolean {
+        return this.byService.has(name);
+    }
+
     public findService(name: string): Service | undefined {
         return this.byService.get(name);
     }
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -71,6 +71,11 @@
         return this.entries.values();
     }
 
+    /** Whether an upstream of the service is ready. */
+    public hasReady(service: string): boolean {
+        return [...this.entries.values()].some(({ record }) => record.service === service && record.state === "ready");
+    }
+
     /** Record of the process that listens at the address, IP:PORT; undefined if none does, or it is gone. */
     public recordAt(address: string): UpstreamRecord | undefined {
         return this.entryAt(address, "")?.record;
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -186,6 +186,7 @@
                 outcomes: this.outcomes,
                 fleet: () => this.follower.fleet,
                 hasLease: () => this.hasLease,
+                isRemoved: name => this.routeTable?.hasService(name) === false && !this.directory.hasReady(name),
                 isQuarantined,
                 isSpared: this.notices.isSpared,
                 isSessionPinned: session => this.follower.isSessionPinned(session),
--- a/src/node/gateway/QueuedSelection.test.ts
+++ b/src/node/gateway/QueuedSelection.test.ts
@@ -33,6 +33,7 @@
         selector: selector as unknown as UpstreamSelector,
         upstreamStats: { statesSlowdown } as unknown as UpstreamStatistics,
         hasLease: () => true,
+        isRemoved,
         log: createLog("test", "fatal"),
         metrics: new GatewayMetrics(),
     });
--- a/src/node/gateway/QueuedSelection.ts
+++ b/src/node/gateway/QueuedSelection.ts
@@ -25,8 +25,10 @@
 /** Chosen upstreams that may deny a request before it pauses between two tries, and the pause, in ms. */
 const IMMEDIATE_RETRIES = 4;
 const RETRY_PAUSE_MS = 20;
-/** How often it is checked whether all upstreams have asked for a pause, or limit their requests, in ms. */
+/** How often it is checked whether all upstreams have asked for a pause, or limit their requests, or are gone, in ms. */
 const CHECK_PERIOD_MS = 100;
+/** Suggested retry delay after the service was removed, in ms: short, because a repeat goes by the new configuration. */
+const REMOVED_RETRY_AFTER_MS = 50;
 
 /** Texts for callers. */
 const refusalTexts = {
@@ -42,6 +44,8 @@
     readonly selector: UpstreamSelector;
     readonly upstreamStats: UpstreamStatistics;
     readonly hasLease: () => boolean;
+    /** Whether the service is in the configuration no more and has no upstream that is ready. */
+    readonly isRemoved: (service: string) => boolean;
     readonly log: Log;
     readonly metrics: GatewayMetrics;
 }
@@ -140,7 +144,7 @@
         wantedOf: () => SelectionRequest,
         notBefore: () => number,
     ): WaitRequest<Selection | FinalFailure> {
-        const { waiting, deps: { clock, selector } } = this;
+        const { waiting, deps: { clock, selector, isRemoved } } = this;
         const { req, route, service, account, body, keys, arrivedAt, deadlineAt } = call;
         const { objectiveMs } = route;
         const workMs = service.engineSlots === undefined
@@ -174,6 +178,9 @@
                     return selection;
                 }
                 checkedAt = now;
+                if (isRemoved(service.name)) {
+                    return this.leave(call, "removed", "the service has been removed", REMOVED_RETRY_AFTER_MS);
+                }
                 const obstacle = findObstacle(selector, wanted, state.tried, objectiveMs / 4);
                 return obstacle === undefined
                     ? undefined
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -105,6 +105,8 @@
     readonly fleet: () => Fleet;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
+    /** Whether the service is in the configuration no more and has no upstream that is ready. */
+    readonly isRemoved: (service: string) => boolean;
     readonly isQuarantined: (keys: CallKeys) => boolean;
     /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
     readonly isSpared: (upstream: string) => boolean;
