No response is written to a connection whose TLS handshake has failed

The listener for faulty requests also gets errors of connections; for these it now only destroys the connection, as Node.js does.

--- a/src/node/http/KeptConnections.ts
+++ b/src/node/http/KeptConnections.ts
@@ -6,13 +6,14 @@
 import { type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { type Duplex } from "node:stream";
 
-/** Status of the response to a request that can't be read, by error code. */
-const statuses: Readonly<Record<string, number>> = {
+/** Statuses of the responses to requests that can't be read or take too long to arrive, by error code. */
+const statuses: Readonly<Record<string, number | undefined>> = {
     HPE_HEADER_OVERFLOW: 431,
     HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
     ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
-const DEFAULT_STATUS = 400;
+/** Prefix of the error codes of the HTTP parser. */
+const PARSER_ERROR = "HPE_";
 /** The caller has closed its side within a request. */
 const UNEXPECTED_END = "HPE_INVALID_EOF_STATE";
 
@@ -50,8 +51,9 @@
     });
 
     server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
-        const isRequestFault = code !== UNEXPECTED_END
-            && (code.startsWith("HPE_") || code === "ERR_HTTP_REQUEST_TIMEOUT");
+        // Undefined if the connection has failed; then nothing more can be sent.
+        const status = statuses[code] ?? (code.startsWith(PARSER_ERROR) ? 400 : undefined);
+        const isRequestFault = status !== undefined && code !== UNEXPECTED_END;
         const last = newest.get(socket)?.res;
         const close = (): void => {
             const responses = [...open.get(socket) ?? []];
@@ -60,7 +62,7 @@
                 whole.once("close", close);
             }
             else if (responses.length > 0 || last === newest.get(socket)?.res) {
-                refuse(socket, statuses[code] ?? DEFAULT_STATUS, responses);
+                refuse(socket, status, responses);
             }
             else {
                 // The request that took too long to arrive has arrived since, and has been answered.
@@ -74,8 +76,8 @@
     });
 };
 
-const refuse = (socket: Duplex, status: number, open: readonly ServerResponse[]): void => {
-    if (socket.writable && !open.some(({ headersSent }) => headersSent)) {
+const refuse = (socket: Duplex, status: number | undefined, open: readonly ServerResponse[]): void => {
+    if (status !== undefined && socket.writable && !open.some(({ headersSent }) => headersSent)) {
         socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
     }
     socket.destroy();
