--- a/src/node/gateway/AttemptTargets.ts
+++ b/src/node/gateway/AttemptTargets.ts
@@ -56,6 +56,8 @@
     readonly fleet: () => Fleet;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
+    /** Whether the service is in the configuration no more and has no upstream that is ready. */
+    readonly isRemoved: (service: string) => boolean;
     /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
     readonly isSpared: (upstream: string) => boolean;
     /** Whether another entry instance reports that the session must keep its version. */
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -11,6 +11,7 @@
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Call, type CallResult, type CallState, createCallState, QUARANTINED } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
+import { readBody } from "./RequestBody.ts";
 import { type RequestLog } from "./RequestLog.ts";
 import { type RequestRouter } from "./RequestRouter.ts";
 
@@ -29,7 +30,7 @@
     readonly codec: ExchangeCodec;
     readonly router: RequestRouter;
     readonly log: RequestLog;
-    /** Undefined until a configuration has been received. */
+    /** Undefined until a configuration has been received, and while it can't be read. */
     readonly routeTable: () => RouteTable | undefined;
     /** Whether a control quorum has confirmed the configuration recently enough to serve requests by it. */
     readonly hasLease: () => boolean;
@@ -167,7 +168,7 @@
         }
         const table = this.deps.routeTable();
         if (table === undefined || !this.deps.hasLease()) {
-            const reason = table === undefined ? "no configuration has been received" : "cut off from control";
+            const reason = table === undefined ? "no configuration is in force" : "cut off from control";
             return { status: 503, reason, retryAfterMs: RETRY_AFTER_MS };
         }
         const path = request.path.split("?", 1)[0] ?? "/";
@@ -227,25 +228,3 @@
 /** Hash of method, path, API key and body. */
 const fingerprintOf = (req: CallerRequest, body: Buffer | undefined): string =>
     shortHash(`${req.method} ${req.path} ${req.key ?? ""} `, body ?? "");
-
-/** Reads the whole body; with a limit of 0 it is read to its end and discarded. */
-const readBody = (req: IncomingMessage, limit: number): Promise<Buffer | undefined | "tooLarge" | "broken"> => {
-    const hasBody = req.headers["content-length"] !== undefined || req.headers["transfer-encoding"] !== undefined;
-    if (!hasBody || req.headers["content-length"] === "0") {
-        req.resume();
-        return Promise.resolve(req.headers["content-length"] === "0" ? Buffer.alloc(0) : undefined);
-    }
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        req.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size <= limit) {
-                chunks.push(chunk);
-            }
-        });
-        req.once("end", () => resolve(size > limit ? "tooLarge" : Buffer.concat(chunks)));
-        req.once("close", () => resolve("broken"));
-        req.once("error", () => resolve("broken"));
-    });
-};
