Failing tests: requests lose an answer or a way out around backup attempts

A backup attempt takes the last repeat, so that a stream whose upstream then fails is broken off (also before). New with: a request that waits for a connection in vain stays there if its route allows one attempt or no repeats are left; events without an id are dropped from a resumed stream that ends as complete.

--- a/src/node/gateway/RequestRouter.test.ts
+++ b/src/node/gateway/RequestRouter.test.ts
@@ -12,6 +12,7 @@
 import { type Call, type CallResult, createCallState } from "./Call.ts";
 import { CallerReply } from "./CallerReply.ts";
 import { GatewayMetrics } from "./GatewayMetrics.ts";
+import { type ModelChoice } from "./ModelChoice.ts";
 import { RequestRouter, type RequestRouterDependencies } from "./RequestRouter.ts";
 import { UpstreamAttempts, type UpstreamAttemptsDependencies } from "./UpstreamAttempts.ts";
 import { Exchange, type ExchangeRequest } from "./UpstreamConnections.ts";
@@ -26,7 +27,13 @@
     public readonly exchange: Exchange;
     private readonly controller: Dispatcher.DispatchController;
 
-    public constructor(clock: ManualClock, upstream: string, { headers, obstacle }: ExchangeRequest) {
+    /** @param isConnected whether there is a connection for it at once */
+    public constructor(
+        clock: ManualClock,
+        upstream: string,
+        { headers, obstacle }: ExchangeRequest,
+        isConnected: boolean,
+    ) {
         this.upstream = upstream;
         this.resumeAfter = headers.at(headers.indexOf("resumeAfter") + 1);
         this.controller = {
@@ -38,7 +45,9 @@
             resume: () => undefined,
         } as unknown as Dispatcher.DispatchController;
         this.exchange = new Exchange(() => clock.monotonic(), () => undefined, obstacle);
-        this.exchange.handler.onRequestStart?.(this.controller, {});
+        if (isConnected) {
+            this.exchange.handler.onRequestStart?.(this.controller, {});
+        }
     }
 
     public sendHead(status = 200): void {
@@ -46,7 +55,11 @@
     }
 
     public sendEvent(id: number): void {
-        this.exchange.handler.onResponseData?.(this.controller, Buffer.from(`id: ${id}\ndata: ${id}\n\n`));
+        this.sendText(`id: ${id}\ndata: ${id}\n\n`);
+    }
+
+    public sendText(text: string): void {
+        this.exchange.handler.onResponseData?.(this.controller, Buffer.from(text));
     }
 
     public end(): void {
@@ -65,11 +78,14 @@
     readonly upstreams?: readonly string[];
     /** Confidence of the smaller model's answers; with it, the route has two models. */
     readonly confidence?: number;
+    /** Upstreams to which no connection can be had. */
+    readonly withoutConnection?: readonly string[];
 }
 
 /** A router with the given upstreams and one request, whose caller reads everything. */
 const createSetup = async (options: SetupOptions) => {
     const { maxAttempts = 2, kind = "stream", repeats = 5, upstreams = ["a", "b", "c"] } = options;
+    const models = options.confidence === undefined ? [] : ["small", "large"];
     const clock = new ManualClock(10_000);
     const sent: SentAttempt[] = [];
     const usable = new Set(upstreams);
@@ -113,7 +129,11 @@
         entryCount: () => 1,
         hasQuorumContact: () => false,
         isSpared: () => false,
-        models: { next: () => undefined, recordGeneration: () => undefined },
+        models: {
+            next: (...[, { modelIndex }]: Parameters<ModelChoice["next"]>) =>
+                options.confidence !== undefined && modelIndex === 0 ? 1 : undefined,
+            recordGeneration: () => undefined,
+        },
         onStatement: () => undefined,
         onLateStatement: () => undefined,
         onResponse: () => undefined,
@@ -123,14 +143,15 @@
         onConnectionClosed: () => undefined,
         connections: {
             send: (name: string, ...[, , req]: [string, number, ExchangeRequest]) => {
-                sent.push(new SentAttempt(clock, name, req));
+                const isConnected = options.withoutConnection?.includes(name) !== true;
+                sent.push(new SentAttempt(clock, name, req, isConnected));
                 return sent.at(-1)?.exchange;
             },
         },
     };
     const attempts = new UpstreamAttempts(stub as unknown as UpstreamAttemptsDependencies);
-    const select = ({ tried }: SelectionRequest): Selection | undefined => {
-        const name = upstreams.find(item => usable.has(item) && !tried.has(item));
+    const select = ({ tried, model = "" }: SelectionRequest): Selection | undefined => {
+        const name = upstreams.find(item => usable.has(item) && !tried.has(item) && item.startsWith(model));
         const record = { id: name, start: 1, domain: "d", version: "1", slots: 8, host: "127.0.0.1", port: 1 };
         return name === undefined
             ? undefined
@@ -162,7 +183,7 @@
     } as unknown as RequestRouterDependencies);
     const call = {
         req: { id: "q", method: "GET", path: "/", headers: [], prompt: undefined, resumeAfter: undefined },
-        route: { name: "r", kind, gapMs: 600, objectiveMs: 1000, isResumable: true, maxAttempts, models: [] },
+        route: { name: "r", kind, gapMs: 600, objectiveMs: 1000, isResumable: true, maxAttempts, models },
         service: { name: "s", maxConnections: 10 },
         keys: { request: () => "key", parts: new Map() },
         arrivedAt: clock.monotonic(),
@@ -182,7 +203,7 @@
     };
     await settle();
     const events = (): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-    return { sent, usable, advance, events, result: () => result, budget, connection };
+    return { sent, usable, advance, events, result: () => result, budget, connection, body: () => body };
 };
 
 const begin = async ({ sent }: { sent: readonly SentAttempt[]; }): Promise<void> => {
@@ -312,3 +333,55 @@
     assert.deepEqual(setup.sent.map(({ isAborted }) => isAborted), [true, true]);
     assert.equal(setup.result()?.outcome, "callerLeft");
 });
+
+test("RequestRouter: a smaller model's answer is relayed if no upstream of the larger model takes the request", async () => {
+    const answer = { confidence: 10, maxAttempts: 3 };
+    const withoutLarger = await createSetup({ ...answer, upstreams: ["small"] });
+    withoutLarger.sent[0]?.sendHead();
+    await withoutLarger.advance(400);
+    const refused = await createSetup({ ...answer, upstreams: ["small", "large"] });
+    refused.sent[0]?.sendHead();
+    await settle();
+    refused.sent[1]?.sendHead(503);
+    refused.sent[1]?.end();
+    await refused.advance(400);
+    for (const setup of [withoutLarger, refused]) {
+        await finish(setup.sent[0], 1, 3);
+        assert.deepEqual([setup.events(), setup.result()?.outcome], [[1, 2, 3], "served"]);
+    }
+});
+
+test("RequestRouter: a request that waits for a connection in vain goes elsewhere, which is no repeat", async () => {
+    for (const kind of ["stream", "idempotent"] as const) {
+        const setup = await createSetup({ kind, maxAttempts: 1, repeats: 0, withoutConnection: ["a"] });
+        await setup.advance(3000);
+        assert.deepEqual(setup.sent.map(({ upstream }) => upstream), ["a", "b"]);
+    }
+});
+
+test("RequestRouter: a backup attempt leaves the last repeat to attempts that fail", async () => {
+    const setup = await createSetup({ maxAttempts: 3, repeats: 1 });
+    await begin(setup);
+    await setup.advance(800);
+    setup.sent[1]?.sendHead(503);
+    setup.sent[1]?.end();
+    await setup.advance(100);
+    setup.sent[0]?.reset();
+    await setup.advance(100);
+    setup.sent.at(-1)?.sendHead();
+    await finish(setup.sent.at(-1), 2, 3);
+    assert.deepEqual([setup.events(), setup.result()?.outcome], [[1, 2, 3], "served"]);
+});
+
+test("RequestRouter: events without an id are relayed from the attempt that resumes a stream, too", async () => {
+    const setup = await createSetup({ maxAttempts: 3 });
+    await begin(setup);
+    setup.sent[0]?.reset();
+    await settle();
+    setup.sent[1]?.sendHead();
+    setup.sent[1]?.sendText("event: done\ndata: all\n\n");
+    setup.sent[1]?.end();
+    await settle();
+    assert.equal(setup.result()?.outcome, "served");
+    assert.match(setup.body(), /event: done/);
+});
