A planned stop waits until slow callers have taken their responses

Callers that read late got a truncated response around a planned stop: 3,919,872 of 33,554,432 bytes through HttpServer, 4,110,336 of 25,165,824 through a gateway. The request log called these requests served.

Node counts a response as finished from end() on. Server.close, since Node 19, and closeIdleConnections destroy such a connection even if most of the response still waits for its caller.

The server now counts the open responses of each connection until their 'close' event, which comes once the last byte has been handed to the system, and closes a connection only when it has none and no bytes of a further request have come. net.Server.prototype.close stops accepting without Node's closing of idle connections.

Connections on which no request has been sent stay open as before, so that their first request is refused instead of being cut off.

--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import { Server as NetServer, type Socket } from "node:net";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { type Component } from "../../common/lifecycle/Lifecycle.ts";
 import { type Address } from "../settings/SettingsSchema.ts";
@@ -41,6 +42,14 @@
 /** Time after which an idle connection is closed, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 65_000;
 
+/** Use of a connection on which at least one request has begun. */
+interface ConnectionUse {
+    /** Requests whose response has not been taken by the system. */
+    open: number;
+    /** Bytes that had arrived when the newest response was taken. */
+    bytesRead: number;
+}
+
 /** Listener that passes each request to the handler. */
 export const listenerOf = (handle: HttpHandler): RequestListener => (req, res) => void handle(req, res);
 
@@ -52,6 +61,7 @@
     private readonly createListener: () => RequestListener;
     private readonly options: HttpServerOptions;
     private server: Server | undefined;
+    private readonly uses = new Map<Socket, ConnectionUse>();
 
     /** @param createListener called once, when the server starts */
     public constructor(
@@ -95,23 +105,53 @@
         this.server?.closeAllConnections();
     }
 
-    /** Stops accepting connections and waits until the requests in flight have been answered. */
+    /**
+     * Stops accepting connections and waits until the system has taken the responses to all requests. Connections on
+     * which no request has been sent yet stay open, so that a first one can still be answered.
+     */
     public stop(): Promise<void> {
-        const server = this.server;
+        const { server } = this;
         if (server === undefined) {
             return Promise.resolve();
         }
         return new Promise(resolve => {
             // A connection that becomes idle later would delay the stop until its keep-alive timeout.
-            const sweep = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_PERIOD_MS);
-            server.close(() => {
+            const sweep = setInterval(() => this.closeIdle(), IDLE_CHECK_PERIOD_MS);
+            // `Server.close` and `closeIdleConnections` of node:http destroy connections whose response has been
+            // ended, even if most of it still waits for the caller.
+            NetServer.prototype.close.call(server, () => {
                 clearInterval(sweep);
+                // Ends the timer with which Node checks the timeouts of requests.
+                server.close();
                 resolve();
             });
-            server.closeIdleConnections();
+            this.closeIdle();
         });
     }
 
+    private closeIdle(): void {
+        for (const [socket, { open, bytesRead }] of this.uses) {
+            // Bytes that have come since are the beginning of another request.
+            if (open === 0 && socket.bytesRead === bytesRead) {
+                socket.destroy();
+            }
+        }
+    }
+
+    private readonly trackUse: RequestListener = ({ socket }, res) => {
+        const use = this.uses.get(socket) ?? { open: 0, bytesRead: 0 };
+        if (!this.uses.has(socket)) {
+            this.uses.set(socket, use);
+            socket.once("close", () => this.uses.delete(socket));
+        }
+        use.open++;
+        // Emitted when the last byte has been handed to the system, or the connection has closed.
+        res.once("close", () => {
+            use.open--;
+            use.bytesRead = socket.bytesRead;
+        });
+    };
+
     private createServer(listener: RequestListener): Server {
         const options = {
             maxHeaderSize: this.limits.maxHeaderBytes,
@@ -123,9 +163,10 @@
         };
         const { certificates } = this.options;
         if (certificates === undefined) {
-            return createServer(options, listener);
+            return createServer(options, this.trackUse).on("request", listener);
         }
-        const server = createTlsServer({ ...options, ...certificates.current }, listener);
+        const server = createTlsServer({ ...options, ...certificates.current }, this.trackUse);
+        server.on("request", listener);
         certificates.onChanged(certificate => server.setSecureContext(certificate));
         return server;
     }
