A running request is answered at the end of the grace time of a stop

A request whose response had not begun 0.7 s before the end of the grace time lost its connection without an answer: its caller could not tell whether it had run, and a request that only waited for an upstream could not be sent again. A running booking now gets 502, one that was never sent to an upstream 503 with a retry delay, both with Connection: close, and its upstream is released. Responses that have begun are broken off as before.

CallerHandler keeps its open requests. An answer by preempt makes the caller count as gone, which the router checks before it sends anything, so that a request that was refused as not run can't run later. A request counts as sent once an upstream is listed in its state, also while the attempt is under way or was refused by the upstream. Requests that are still arriving are left to the closing of the connection: they have not been read, and Node ends no partly read request whose response has been sent.

Requests count as in flight until the system has taken their response, not until it has been produced. The number of responses that callers have not taken is logged when a stop begins and when its grace time ends, and is the metric skylarktide_gateway_untaken_responses.

--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -19,6 +19,8 @@
 /** Suggested retry delay while the instance stops, in ms: short, because the retry goes to another instance. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
+const STOPPING = "the instance is stopping";
+
 /** Length of a hash in base64, which is 132 bits. */
 const HASH_CHARACTERS = 22;
 
@@ -51,10 +53,23 @@
     readonly retryAfterMs?: number;
 }
 
+/** A request whose response has not been taken by the system. */
+interface OpenRequest {
+    readonly request: CallerRequest;
+    readonly reply: CallerReply;
+    readonly state: CallState;
+    /** Resolves when the system has taken the whole response, or the connection has closed. */
+    readonly ended: Promise<void>;
+    /** Whether it is being read, is being routed, or has a response that waits for its caller. */
+    phase: "arriving" | "routing" | "answered";
+    /** Set when the request was answered before its routing had ended. */
+    preemptedBy: CallResult | undefined;
+}
+
 /** Admits or refuses each request of a caller, routes the admitted ones, and logs the result. */
 export class CallerHandler {
     private readonly deps: CallerHandlerDependencies;
-    private active = 0;
+    private readonly open = new Set<OpenRequest>();
     private handledCount = 0;
     private isKeepAliveDisabled = false;
     private isRefusing = false;
@@ -63,9 +78,14 @@
         this.deps = deps;
     }
 
-    /** Requests whose response is not complete yet. */
+    /** Requests whose response the system has not taken yet. */
     public get inFlight(): number {
-        return this.active;
+        return this.open.size;
+    }
+
+    /** Those of them whose response has been produced, but waits for the caller to read. */
+    public get untaken(): number {
+        return [...this.open].filter(({ phase }) => phase === "answered").length;
     }
 
     /** Requests that have arrived since the start. */
@@ -83,14 +103,26 @@
         this.isRefusing = true;
     }
 
+    /**
+     * Answers all requests that are being routed and whose response has not begun; none of them is sent to an upstream
+     * afterwards. Resolves when the system has taken these answers.
+     */
+    public async preemptRequests(): Promise<void> {
+        const preempted = [...this.open].filter(({ phase, reply }) =>
+            phase === "routing" && !reply.hasBegun && !reply.isCallerGone
+        );
+        preempted.forEach(request => this.preempt(request));
+        await Promise.all(preempted.map(({ ended }) => ended));
+    }
+
     public readonly handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
         const arrivedAt = this.deps.clock.monotonic();
         const reply = new CallerReply(req, res);
         const request = this.deps.codec.readRequest(req.method ?? "GET", req.url ?? "/", req.rawHeaders);
-        this.active++;
+        const open = this.addOpen(request, reply);
         this.handledCount++;
         try {
-            await this.admit(req, request, reply, arrivedAt);
+            await this.admit(req, open, arrivedAt);
         }
         catch (err) {
             this.deps.log.logInternalError(request, err as Error);
@@ -102,34 +134,42 @@
             }
         }
         finally {
-            this.active--;
+            open.phase = "answered";
         }
     };
 
-    private async admit(
-        req: IncomingMessage,
-        request: CallerRequest,
-        reply: CallerReply,
-        arrivedAt: number,
-    ): Promise<void> {
-        const { clock, log } = this.deps;
-        const state: CallState = {
-            tried: new Set(),
-            reservation: undefined,
-            possibleRuns: 0,
-            modelIndex: 0,
-            confidence: undefined,
-            keptFor: undefined,
-            splitter: undefined,
-            errorResponse: undefined,
-            lastFailure: "",
-            upstreamIds: [],
-            modelIndexes: [],
-            firstEventMs: undefined,
-            lastEventAt: 0,
-            longestPauseMs: 0,
-            wait: undefined,
+    private addOpen(request: CallerRequest, reply: CallerReply): OpenRequest {
+        const ended = new Promise<void>(resolve => {
+            reply.onEnded(resolve);
+        });
+        const open: OpenRequest = {
+            request,
+            reply,
+            state: createState(),
+            ended,
+            phase: "arriving",
+            preemptedBy: undefined,
         };
+        this.open.add(open);
+        void ended.then(() => this.open.delete(open));
+        return open;
+    }
+
+    private preempt(open: OpenRequest): void {
+        const { request, reply, state } = open;
+        const { codec } = this.deps;
+        // An attempt that is under way is counted in `upstreamIds`, but not yet in `possibleRuns`.
+        const mayHaveRun = state.upstreamIds.length > 0 || state.possibleRuns > 0;
+        const text = mayHaveRun ? "whether the request ran is not known" : "the request has not run";
+        const retryAfterMs = mayHaveRun ? undefined : STOPPING_RETRY_AFTER_MS;
+        const status = mayHaveRun ? 502 : 503;
+        open.preemptedBy = { outcome: mayHaveRun ? "failed" : "refused", status, reason: STOPPING };
+        reply.preempt(status, codec.refusalHeaders(request, retryAfterMs), `${STOPPING}; ${text}`);
+    }
+
+    private async admit(req: IncomingMessage, open: OpenRequest, arrivedAt: number): Promise<void> {
+        const { clock, log } = this.deps;
+        const { request, reply, state } = open;
         if (this.isKeepAliveDisabled) {
             reply.disableKeepAlive();
         }
@@ -160,8 +200,9 @@
             return;
         }
         const call = this.createCall(request, admission, body, reply, arrivedAt);
+        open.phase = "routing";
         const result = await this.run(call, state);
-        log.logFinished(request, call, state, result, clock.monotonic() - arrivedAt);
+        log.logFinished(request, call, state, open.preemptedBy ?? result, clock.monotonic() - arrivedAt);
     }
 
     private run(call: Call, state: CallState): Promise<CallResult> | CallResult {
@@ -178,7 +219,7 @@
     /** Returns route, service and account, or the reason to refuse the request. */
     private check(request: CallerRequest): Admission | Refusal {
         if (this.isRefusing) {
-            return { status: 503, reason: "the instance is stopping", retryAfterMs: STOPPING_RETRY_AFTER_MS };
+            return { status: 503, reason: STOPPING, retryAfterMs: STOPPING_RETRY_AFTER_MS };
         }
         const table = this.deps.routeTable();
         if (table === undefined || !this.deps.hasLease()) {
@@ -232,6 +273,24 @@
     }
 }
 
+const createState = (): CallState => ({
+    tried: new Set(),
+    reservation: undefined,
+    possibleRuns: 0,
+    modelIndex: 0,
+    confidence: undefined,
+    keptFor: undefined,
+    splitter: undefined,
+    errorResponse: undefined,
+    lastFailure: "",
+    upstreamIds: [],
+    modelIndexes: [],
+    firstEventMs: undefined,
+    lastEventAt: 0,
+    longestPauseMs: 0,
+    wait: undefined,
+});
+
 /** Hash of texts and bytes, short because keys travel between instances. */
 const shortHash = (...contents: readonly (string | Buffer)[]): string => {
     const hash = createHash("sha256");
--- a/src/node/gateway/CallerReply.ts
+++ b/src/node/gateway/CallerReply.ts
@@ -9,6 +9,7 @@
     private readonly res: ServerResponse;
     private isClosedByCaller = false;
     private closeListener: (() => void) | undefined;
+    private endListener: (() => void) | undefined;
     /** Holds what a slow caller has not read; undefined for responses that are read as fast as the caller reads. */
     private buffer: ReplyBuffer | undefined;
 
@@ -19,13 +20,14 @@
                 this.isClosedByCaller = true;
                 this.closeListener?.();
             }
+            this.endListener?.();
         };
         res.once("close", handleClose);
         req.once("error", handleClose);
         res.on("error", handleClose);
     }
 
-    /** Whether the caller disconnected before its response was complete. */
+    /** Whether the caller disconnected before its response was complete, or has got an error by `preempt`. */
     public get isCallerGone(): boolean {
         return this.isClosedByCaller;
     }
@@ -45,6 +47,11 @@
         this.closeListener = listener;
     }
 
+    /** Sets the listener for the end: the system has taken the whole response, or the connection has closed. */
+    public onEnded(listener: () => void): void {
+        this.endListener = listener;
+    }
+
     /** Closes the connection after this response. */
     public disableKeepAlive(): void {
         if (!this.res.headersSent) {
@@ -117,6 +124,20 @@
         this.send(status, [...contentType, ...Object.entries(headers).flat()], body);
     }
 
+    /**
+     * Sends an error to a request that is still being routed, unless a response has begun, and closes the connection
+     * after it. The caller counts as gone from then on, so that the request is not sent to an upstream any more.
+     */
+    public preempt(status: number, headers: Readonly<Record<string, string>>, message: string): void {
+        if (this.isClosedByCaller || this.res.headersSent) {
+            return;
+        }
+        this.disableKeepAlive();
+        this.sendError(status, headers, message);
+        this.isClosedByCaller = true;
+        this.closeListener?.();
+    }
+
     private writeHead(status: number, headers: readonly string[]): void {
         this.res.sendDate = false;
         // writeHead drops headers set with setHeader when it is given a flat list.
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -50,6 +50,8 @@
 const READINESS_DELAY_MS = 2600;
 /** Requests that are still open this long before the end of the grace period are aborted, in ms. */
 const ABORT_MARGIN_MS = 700;
+/** Time for the answers to these requests to be taken, in ms. */
+const PREEMPT_MS = 200;
 /** How often upstreams without heartbeats are evicted from the directory, in ms. */
 const EVICTION_PERIOD_MS = 5000;
 /** Confirmation age up to which the upstream directory counts as up to date, in ms. */
@@ -279,7 +281,8 @@
         const stopAt = clock.monotonic() + graceMs - ABORT_MARGIN_MS;
         this.isStopping = true;
         this.handler.disableKeepAlive();
-        log.info("The entry role stops.", { inFlight: this.handler.inFlight });
+        const openCounts = (): object => ({ inFlight: this.handler.inFlight, untaken: this.handler.untaken });
+        log.info("The entry role stops.", openCounts());
         await sleep(clock, Math.min(READINESS_DELAY_MS, graceMs / 3));
         this.handler.refuseRequests();
         await withTimeout(
@@ -288,7 +291,8 @@
             this.callerServer?.stop() ?? Promise.resolve(),
         );
         if (this.handler.inFlight > 0) {
-            log.warn("Open requests are aborted at the end of the grace period.", { inFlight: this.handler.inFlight });
+            log.warn("Open requests are aborted at the end of the grace period.", openCounts());
+            await withTimeout(clock, PREEMPT_MS, this.handler.preemptRequests());
         }
         this.callerServer?.closeConnections();
         this.dispose();
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -187,7 +187,14 @@
         metrics.addGauges({
             resident_bytes: { help: "Resident memory.", read: () => process.memoryUsage.rss() },
             cpu_seconds: { help: "Processor time.", read: () => process.cpuUsage().user / 1e6 },
-            in_flight: { help: "Requests in flight.", read: () => entry?.handler.inFlight ?? 0 },
+            in_flight: {
+                help: "Requests whose response has not been taken.",
+                read: () => entry?.handler.inFlight ?? 0,
+            },
+            untaken_responses: {
+                help: "Responses that have been produced, but not taken by their callers.",
+                read: () => entry?.handler.untaken ?? 0,
+            },
             entries: {
                 help: "Entry instances on the roster; 0 while they may not know each other.",
                 read: () => entry?.rosterIds.length ?? 0,
