A stop begins at once and ends, whatever the other listeners wait for

Half a request to the metrics kept a planned stop from beginning: readiness went on answering 200, no request was refused or drained, and all of them would have been cut off by SIGKILL at the end of the grace time. The metrics listener was stopped first, and its stop waits without a limit for every request that has begun.

The entry role now stops first, so that metrics can be read during a stop, and the other listeners close what is left after a time: 0.1 s for readiness and metrics, half the grace time for operators and upstreams, stop_grace_ms for the listeners of an instance, since a caller that never reads its response would hold up their stop without end otherwise.

--- a/src/node/EntryRole.ts
+++ b/src/node/EntryRole.ts
@@ -53,6 +53,7 @@
         this.upstreamClient = this.register(new UpstreamClient(core.registry));
         this.callerServer = this.createCallerServer(settings);
         const limits = serverLimits(settings);
+        const options = { certificates, maxStopMs: settings.limits.stop_grace_ms };
         const upstreamServer = new UpstreamServer(core.relay, settings.upstreams.key_sha256);
         this.servers = [
             new HttpServer(
@@ -60,14 +61,14 @@
                 upstreams,
                 limits,
                 () => createBrokerListener(broker, "upstreams", upstreamServer.handle),
-                { certificates },
+                options,
             ),
             new HttpServer(
                 "callers",
                 callers,
                 limits,
                 () => createBrokerListener(broker, "callers", this.callerServer.handle, { skipsActions: true }),
-                { certificates },
+                options,
             ),
         ];
     }
--- a/src/node/Instance.ts
+++ b/src/node/Instance.ts
@@ -215,7 +215,7 @@
             this.settings.doors.admin,
             serverLimits(this.settings),
             () => createBrokerListener(this.broker, "admin", adminServer.handle),
-            { certificates: this.certificates },
+            { certificates: this.certificates, maxStopMs: this.settings.limits.stop_grace_ms },
         );
     }
 
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -27,6 +27,12 @@
 /** Limits of the HTTP servers for operators, upstreams, readiness and metrics. */
 const SERVER_LIMITS = { maxHeaderBytes: 16_384, maxHeaders: 100, maxConnections: 1000, requestTimeoutMs: 15_000 };
 
+/** Time for open requests for readiness or metrics at the end of a stop, in ms. */
+const MAX_STOP_MS = 100;
+/** Time for open requests of operators and upstreams, as a fraction of the grace time. */
+const CONTROL_STOP_FRACTION = 1 / 2;
+const MS_PER_SECOND = 1000;
+
 /** Protocols of a deployment. */
 export interface GatewayAdapter {
     readonly codec: ExchangeCodec;
@@ -74,6 +80,11 @@
             this.addEntry();
         }
         this.addMetrics();
+        const { entry } = this;
+        if (entry !== undefined) {
+            // Components stop in reverse order: readiness and metrics still answer while the entry role stops.
+            this.lifecycle.add(createComponent("entry", () => entry.start(), () => entry.stop()));
+        }
         await this.lifecycle.start();
         watchFile(this.file, { interval: SETTINGS_POLL_MS, persistent: false }, () => this.reload());
         const { name, roles, domain, bootstrap } = settings.instance;
@@ -156,7 +167,8 @@
         const { control: address } = settings.doors;
         if (address !== undefined) {
             const handler = adapter.createControlHandler(control, clock, log.withPrefix("operators"));
-            this.addServer("control", address, handler);
+            const maxStopMs = settings.bounds.stop_grace_s * MS_PER_SECOND * CONTROL_STOP_FRACTION;
+            this.addServer("control", address, handler, maxStopMs);
         }
     }
 
@@ -178,8 +190,6 @@
             const handler = adapter.createReadinessHandler(() => entry.notReadyReason);
             this.addServer("readiness", readiness, handler);
         }
-        // Components stop in reverse order: the readiness server still reports not ready while the entry role stops.
-        this.lifecycle.add(createComponent("entry", () => entry.start(), () => entry.stop()));
     }
 
     private addMetrics(): void {
@@ -216,8 +226,8 @@
         this.addServer("metrics", doors.metrics, handler);
     }
 
-    private addServer(name: string, address: Address, handler: HttpHandler): void {
-        this.lifecycle.add(new HttpServer(name, address, SERVER_LIMITS, () => listenerOf(handler)));
+    private addServer(name: string, address: Address, handler: HttpHandler, maxStopMs = MAX_STOP_MS): void {
+        this.lifecycle.add(new HttpServer(name, address, SERVER_LIMITS, () => listenerOf(handler), { maxStopMs }));
     }
 
     /** Ids of the instances with these control addresses: an id is the peer address, whose port is the same on all. */
--- a/src/node/http/HttpServer.test.ts
+++ b/src/node/http/HttpServer.test.ts
@@ -4,7 +4,7 @@
 import { connect, type Socket } from "node:net";
 import { type TestContext } from "node:test";
 import { test } from "node:test";
-import { HttpServer, listenerOf } from "./HttpServer.ts";
+import { HttpServer, type HttpServerOptions, listenerOf } from "./HttpServer.ts";
 
 /** More than the buffers of a loopback connection hold. */
 const LARGE_BYTES = 32 * 1024 * 1024;
@@ -14,13 +14,17 @@
 const REQUEST = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 /** A server that passes each response to the test. */
-const startServer = async (context: TestContext, handle: (res: ServerResponse) => void): Promise<HttpServer> => {
+const startServer = async (
+    context: TestContext,
+    handle: (res: ServerResponse) => void,
+    options: HttpServerOptions = {},
+): Promise<HttpServer> => {
     const listener = listenerOf((req, res) => {
         req.resume();
         handle(res);
         return Promise.resolve();
     });
-    const server = new HttpServer("test", { host: "127.0.0.1", port: 0 }, LIMITS, () => listener);
+    const server = new HttpServer("test", { host: "127.0.0.1", port: 0 }, LIMITS, () => listener, options);
     await server.start();
     context.after(() => server.closeConnections());
     return server;
@@ -124,3 +128,11 @@
     assert.ok(await readToEnd(caller) > 0);
     assert.ok(await isWithin(IMMEDIATE_MS, stopped));
 });
+
+test("HttpServer: a stop with a time limit ends although a caller takes nothing", async context => {
+    const server = await startServer(context, res => res.end(Buffer.alloc(LARGE_BYTES)), { maxStopMs: 100 });
+    const caller = await connectTo(context, server);
+    caller.write(REQUEST);
+    await once(caller, "readable");
+    assert.ok(await isWithin(IMMEDIATE_MS, server.stop()));
+});
--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -27,6 +27,8 @@
     readonly certificates?: Certificates | undefined;
     /** Time after which an idle connection is closed, in ms. Default: `DEFAULT_KEEP_ALIVE_MS`. */
     readonly keepAliveMs?: number;
+    /** Time after which a stop closes the connections that are left, in ms. Default: the stop waits for them. */
+    readonly maxStopMs?: number;
 }
 
 /** Timeouts that can be changed while the server is running. */
@@ -117,10 +119,13 @@
         return new Promise(resolve => {
             // A connection that becomes idle later would delay the stop until its keep-alive timeout.
             const sweep = setInterval(() => this.closeIdle(), IDLE_CHECK_PERIOD_MS);
+            const { maxStopMs } = this.options;
+            const limit = maxStopMs === undefined ? undefined : setTimeout(() => this.closeConnections(), maxStopMs);
             // `Server.close` and `closeIdleConnections` of node:http destroy connections whose response has been
             // ended, even if most of it still waits for the caller.
             NetServer.prototype.close.call(server, () => {
                 clearInterval(sweep);
+                clearTimeout(limit);
                 // Ends the timer with which Node checks the timeouts of requests.
                 server.close();
                 resolve();
