--- a/src/node/gateway/Attempt.test.ts
+++ b/src/node/gateway/Attempt.test.ts
@@ -111,3 +111,18 @@
     assert.equal(await finished, undefined);
     assert.equal(readChunks(), 301);
 });
+
+// Its events lie unread in buffers of this process, so that the upstream could show no progress.
+test("Attempt: a stream of any other service is not taken for a stalled one while its caller reads nothing", async () => {
+    const { clock, attempt, aborts, waiting, finished } = await startAttempt(150, false);
+    clock.advance(1900);
+    attempt.abortIfStalled();
+    assert.deepEqual(aborts, []);
+    let isFinished = false;
+    void finished.then(() => isFinished = true);
+    while (!isFinished) {
+        waiting.shift()?.();
+        await settle();
+    }
+    assert.equal(await finished, undefined);
+});
