A stream that waits for its caller is not given up as a stalled one

Streams of services without slowdown reports are read as fast as their caller reads. While a write waited for the caller, the attempt saw no further event and aborted the upstream as stalled, 0.7 s or 1.2 of the longest pause later; without another upstream the response was broken off, although the upstream was sound and the caller still there.

isReadingPaused was true only for responses with a reply buffer. It is now also true while a write without one waits for the caller, which suspends the detection of stalls as for the others. The deadline of the request still ends an attempt whose caller never reads on.

--- a/src/node/gateway/CallerReply.ts
+++ b/src/node/gateway/CallerReply.ts
@@ -12,6 +12,8 @@
     private endListener: (() => void) | undefined;
     /** Holds what a slow caller has not read; undefined for responses that are read as fast as the caller reads. */
     private buffer: ReplyBuffer | undefined;
+    /** Whether a write without a buffer waits for the caller. */
+    private isBlocked = false;
 
     public constructor(req: IncomingMessage, res: ServerResponse) {
         this.res = res;
@@ -37,9 +39,9 @@
         return this.res.headersSent;
     }
 
-    /** Whether nothing more should be read from the upstream until the caller has read more; see `ReplyBuffer`. */
+    /** Whether nothing more should be read from the upstream until the caller has read more. */
     public get isReadingPaused(): boolean {
-        return this.buffer?.isPaused ?? false;
+        return this.buffer?.isPaused ?? this.isBlocked;
     }
 
     /** Sets the listener for the disconnection of the caller; it replaces the previous one. */
@@ -85,6 +87,7 @@
         if (this.isClosedByCaller || this.res.write(chunk)) {
             return;
         }
+        this.isBlocked = true;
         await new Promise<void>(resolve => {
             const proceed = (): void => {
                 this.res.off("drain", proceed);
@@ -94,6 +97,7 @@
             this.res.once("drain", proceed);
             this.res.once("close", proceed);
         });
+        this.isBlocked = false;
     }
 
     public end(): void {
