--- a/src/common/gateway/StallDetection.ts
+++ b/src/common/gateway/StallDetection.ts
@@ -7,7 +7,7 @@
  * Silence never ends a stream, as its upstream may go on: it is aborted when another attempt has gone on instead
  * (`AttemptGroup`). Otherwise it ends before its last event for these reasons only, all measured by the monotonic clock: the
  * deadline of its request has passed, the caller has left, or its upstream has restarted (`Attempt`); an instance that stops
- * has used up its grace period (`GatewayEntryRole.stop`).
+ * has used up its grace period (`PlannedStop`).
  */
 import { type Route } from "./GatewayConfig.ts";
 
--- a/src/node/gateway/CallerReply.ts
+++ b/src/node/gateway/CallerReply.ts
@@ -12,6 +12,7 @@
     private readonly callerGone = new Emitter<void>();
     /** Fires once when the caller has disconnected before its response was complete. */
     public readonly onCallerGone = this.callerGone.event;
+    private endListener: (() => void) | undefined;
     /** Holds what a slow caller has not read; undefined for responses that are read as fast as the caller reads. */
     private buffer: ReplyBuffer | undefined;
 
@@ -22,13 +23,14 @@
                 this.isClosedByCaller = true;
                 this.callerGone.fire();
             }
+            this.endListener?.();
         };
         res.once("close", handleClose);
         req.once("error", handleClose);
         res.on("error", handleClose);
     }
 
-    /** Whether the caller disconnected before its response was complete. */
+    /** Whether the caller disconnected before its response was complete, or has got an error by `preempt`. */
     public get isCallerGone(): boolean {
         return this.isClosedByCaller;
     }
@@ -38,9 +40,9 @@
         return this.res.headersSent;
     }
 
-    /** Whether nothing more should be read from the upstream until the caller has read more; see `ReplyBuffer`. */
-    public get isReadingPaused(): boolean {
-        return this.buffer?.isPaused ?? false;
+    /** Sets the listener for the end: the system has taken the whole response, or the connection has closed. */
+    public onEnded(listener: () => void): void {
+        this.endListener = listener;
     }
 
     /** Closes the connection after this response. */
@@ -115,6 +117,20 @@
         this.send(status, [...contentType, ...Object.entries(headers).flat()], body);
     }
 
+    /**
+     * Sends an error to a request that is still being routed, unless a response has begun, and closes the connection
+     * after it. The caller counts as gone from then on, so that the request is not sent to an upstream any more.
+     */
+    public preempt(status: number, headers: Readonly<Record<string, string>>, message: string): void {
+        if (this.isClosedByCaller || this.res.headersSent) {
+            return;
+        }
+        this.disableKeepAlive();
+        this.sendError(status, headers, message);
+        this.isClosedByCaller = true;
+        this.callerGone.fire();
+    }
+
     private writeHead(status: number, headers: readonly string[]): void {
         this.res.sendDate = false;
         // writeHead drops headers set with setHeader when it is given a flat list.
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -22,7 +22,7 @@
 import { UpstreamStatistics } from "../../common/gateway/UpstreamStatistics.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
-import { type Clock, repeat, sleep, withTimeout } from "../../common/time/Clock.ts";
+import { type Clock, repeat } from "../../common/time/Clock.ts";
 import { HttpServer, listenerOf } from "../http/HttpServer.ts";
 import { type Log } from "../log/Log.ts";
 import { reportBrokenRun } from "./BrokenRuns.ts";
@@ -32,6 +32,7 @@
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
 import { type GatewaySettings } from "./GatewaySettings.ts";
 import { ModelChoice } from "./ModelChoice.ts";
+import { stopServing } from "./PlannedStop.ts";
 import { logReachability } from "./ReachabilityLog.ts";
 import { type RelayRefusal, type RelayServer } from "./RelayServer.ts";
 import { createReplyBuffers } from "./ReplyBuffers.ts";
@@ -46,10 +47,6 @@
  * on every instance.
  */
 const LEASE_FRACTION = 0.7;
-/** Callers still send requests for about this long after readiness reports a planned stop, in ms. */
-const READINESS_DELAY_MS = 2600;
-/** Requests that are still open this long before the end of the grace period are aborted, in ms. */
-const ABORT_MARGIN_MS = 700;
 /** How often upstreams without heartbeats are evicted from the directory, in ms. */
 const EVICTION_PERIOD_MS = 5000;
 /** Confirmation age up to which the upstream directory counts as up to date, in ms. */
@@ -273,25 +270,12 @@
         await this.callerServer?.start();
     }
 
-    /** Graceful stop: reports not ready, refuses new requests after a delay, then waits for the requests in flight. */
+    /** Planned stop, see `stopServing`. */
     public async stop(): Promise<void> {
-        const { clock, settings, log } = this.deps;
-        const graceMs = settings.bounds.stop_grace_s * MS_PER_SECOND;
-        const stopAt = clock.monotonic() + graceMs - ABORT_MARGIN_MS;
+        const { deps: { clock, settings, log }, handler, callerServer, relayServer } = this;
         this.isStopping = true;
-        this.handler.disableKeepAlive();
-        log.info("The entry role stops.", { inFlight: this.handler.inFlight });
-        await sleep(clock, Math.min(READINESS_DELAY_MS, graceMs / 3));
-        this.handler.refuseRequests();
-        await withTimeout(
-            clock,
-            Math.max(0, stopAt - clock.monotonic()),
-            Promise.all([this.callerServer?.stop(), this.relayServer?.stop()]),
-        );
-        if (this.handler.inFlight > 0) {
-            log.warn("Open requests are aborted at the end of the grace period.", { inFlight: this.handler.inFlight });
-        }
-        this.callerServer?.closeConnections();
+        const graceMs = settings.bounds.stop_grace_s * MS_PER_SECOND;
+        await stopServing({ clock, log, handler, callerServer, relayServer }, graceMs);
         this.dispose();
     }
 
--- a/src/node/gateway/ReplyBuffers.ts
+++ b/src/node/gateway/ReplyBuffers.ts
@@ -83,11 +83,6 @@
         return this.held;
     }
 
-    /** Whether the newest write waits for the caller. */
-    public get isPaused(): boolean {
-        return this.resume !== undefined;
-    }
-
     /** Adds a chunk. Resolves at once below the limit, else when the caller has read some of it or is disconnected. */
     public async write(chunk: Buffer): Promise<void> {
         if (this.isOver) {
