The search for a backup attempt waits like a new request, and its refusal is not recorded

A refused search also counted as a refusal in the metrics, was logged as the request's own, and marked its caller as returning.

An attempt beside another one loses nothing by waiting. It now has the rank of a new request, leaves the queue when the first attempt goes on, and its refusal concerns nobody. The new test of QueuedSelection failed before.

--- a/src/common/gateway/WaitingRequests.ts
+++ b/src/common/gateway/WaitingRequests.ts
@@ -43,6 +43,8 @@
 /** A request for `WaitingRequests`. */
 export interface WaitRequest<S> extends WaitingRequest {
     readonly id: string;
+    /** Whether it waits for an attempt beside another one, so that a refusal concerns no caller. */
+    readonly isOptional?: boolean;
     /** Sends the request if an upstream has room for it. */
     readonly start: () => Start<S>;
 }
@@ -238,7 +240,9 @@
         const timeLeftMs = req.deadlineAt - this.deps.clock.monotonic();
         const spreadMs = hashFraction(req.id) * RETURN_SPREAD_MS;
         const retryAfterMs = Math.max(1, Math.min(roomInMs + spreadMs, timeLeftMs * MAX_RETURN_SHARE));
-        known.queue.recordRefusal(req, retryAfterMs);
+        if (req.isOptional !== true) {
+            known.queue.recordRefusal(req, retryAfterMs);
+        }
         if (reason === "full" && !known.isFull) {
             known.isFull = true;
             this.deps.onFull(service, known.queue.length);
--- a/src/node/gateway/QueuedSelection.test.ts
+++ b/src/node/gateway/QueuedSelection.test.ts
@@ -122,3 +122,32 @@
     assert.deepEqual(await Promise.all(results), [selection, selection, selection]);
     queued.dispose();
 });
+
+test("QueuedSelection: an attempt beside another one waits behind repeats, and no longer than it is needed", async () => {
+    const clock = new ManualClock(1000);
+    let waitingThere = 10;
+    const queued = createQueued(clock, () => waitingThere);
+    const wanted = { tried: new Set() } as unknown as SelectionRequest;
+    const ends: string[] = [];
+    const search = new AbortController();
+    const select = async (name: string, hasBegun: boolean, signal?: AbortSignal): Promise<void> => {
+        const state = createCallState();
+        state.upstreamIds.push("engine 0");
+        await queued.create(call(clock, hasBegun), state, () => wanted, signal)?.();
+        ends.push(name);
+        assert.equal(state.wait === undefined, signal !== undefined);
+    };
+    const waits = [
+        select("given up", true, search.signal),
+        select("backup", true, new AbortController().signal),
+        select("repeat", true),
+    ];
+    clock.advance(100);
+    search.abort();
+    await settle();
+    waitingThere = 0;
+    clock.advance(100);
+    await Promise.all(waits);
+    assert.deepEqual(ends, ["given up", "repeat", "backup"]);
+    queued.dispose();
+});
--- a/src/node/gateway/QueuedSelection.ts
+++ b/src/node/gateway/QueuedSelection.ts
@@ -118,7 +118,8 @@
     /**
      * The selection for a request whose service has a queue; undefined for one whose service has none.
      *
-     * @param signal aborted when no upstream is needed any more
+     * @param signal given for an attempt beside another one, which waits like a new request and whose refusal is not
+     * recorded; aborted when no upstream is needed any more
      */
     public create(
         call: Call,
@@ -133,7 +134,8 @@
         }
         let tries = 0;
         let notBefore = -Infinity;
-        const req = this.createRequest(call, state, wantedOf, () => notBefore);
+        const isOptional = signal !== undefined;
+        const req = this.createRequest(call, state, wantedOf, () => notBefore, isOptional);
         return async () => {
             notBefore = ++tries > IMMEDIATE_RETRIES ? clock.monotonic() + RETRY_PAUSE_MS : -Infinity;
             const abandon = (): void => waiting.abandon(service.name, req);
@@ -146,8 +148,10 @@
                 return undefined;
             }
             const refusal = "refusal" in result ? result.refusal : undefined;
-            this.recordWait(state, req.waitsSince, refusal);
-            return "value" in result ? result.value : this.refuse(service.name, result.refusal);
+            if (!isOptional) {
+                this.recordWait(state, req.waitsSince, refusal);
+            }
+            return "value" in result ? result.value : this.refuse(service.name, result.refusal, isOptional);
         };
     }
 
@@ -156,6 +160,7 @@
         state: CallState,
         wantedOf: () => SelectionRequest,
         notBefore: () => number,
+        isOptional: boolean,
     ): WaitRequest<Selection | FinalFailure> {
         const { waiting, deps: { clock, selector, isRemoved } } = this;
         const { req, route, service, account, body, keys, arrivedAt, deadlineAt } = call;
@@ -176,8 +181,9 @@
             arrivedAt,
             waitsSince,
             deadlineAt,
-            isRepeat: state.upstreamIds.length > 0,
-            mayHaveRun: state.possibleRuns + state.attempts.size > 0 || call.reply.hasBegun,
+            isOptional,
+            isRepeat: !isOptional && state.upstreamIds.length > 0,
+            mayHaveRun: !isOptional && (state.possibleRuns > 0 || call.reply.hasBegun),
             isStream: route.kind === "stream",
             key: keys.request,
             start: () => {
@@ -232,8 +238,10 @@
         return { result: "left", value: { reason, retryAfterMs } };
     }
 
-    private refuse(service: string, { reason, retryAfterMs }: WaitRefusal): FinalFailure {
-        this.deps.metrics.countQueueRefusal(service, reason);
+    private refuse(service: string, { reason, retryAfterMs }: WaitRefusal, isOptional: boolean): FinalFailure {
+        if (!isOptional) {
+            this.deps.metrics.countQueueRefusal(service, reason);
+        }
         return { reason: refusalTexts[reason], retryAfterMs };
     }
 
