An answer that asks for a larger model is not held after the end of its request

If the caller left in the step in which an attempt asked for a larger model's answer, nobody told the attempt whether it was replaced: it waited for ever, and its engine's load, reservation and connection stayed counted. Found on the read of the merged code; the test of AttemptGroup covers a request that ends before and after the question. The end of a request now closes its group, which answers the question with no.

--- a/src/node/gateway/AttemptGroup.test.ts
+++ b/src/node/gateway/AttemptGroup.test.ts
@@ -39,3 +39,12 @@
     assert.equal(group.takeEnded()?.failure?.mayHaveRun, true);
     assert.equal(group.size, 1);
 });
+
+// Otherwise the attempt would hold its answer, and what it takes of its engine, for ever.
+test("AttemptGroup: an answer that asks for a larger model is not held after the end of its request", async () => {
+    const group = new AttemptGroup();
+    const asked = group.requestReplacement("u", 1);
+    group.close();
+    assert.equal(await asked, false);
+    assert.equal(await group.requestReplacement("u", 1), false);
+});
--- a/src/node/gateway/AttemptGroup.ts
+++ b/src/node/gateway/AttemptGroup.ts
@@ -30,6 +30,7 @@
     private readonly changed = new Emitter<void>();
     private relayed: Attempt | undefined;
     private wanted: WantedReplacement | undefined;
+    private isClosed = false;
 
     /** Fires when an attempt has ended, and while one has stalled or when it goes on. */
     public readonly onChanged = this.changed.event;
@@ -88,17 +89,18 @@
         this.abort(attempt);
     }
 
-    /** Aborts all attempts, or all but one. */
-    public abort(except?: Attempt): void {
-        for (const attempt of this.running) {
-            if (attempt !== except) {
-                attempt.supersede();
-            }
-        }
+    /** Aborts all attempts, because the request has ended. */
+    public close(): void {
+        this.isClosed = true;
+        this.takeWantedReplacement()?.settle(false);
+        this.abort();
     }
 
     /** Asks for another model's answer; resolves with whether one has been sent for, so that this answer is to be dropped. */
     public requestReplacement(upstream: string, modelIndex: number): Promise<boolean> {
+        if (this.isClosed) {
+            return Promise.resolve(false);
+        }
         return new Promise(resolve => {
             this.wanted = { upstream, modelIndex, settle: resolve };
             this.notify();
@@ -126,4 +128,12 @@
             });
         });
     }
+
+    private abort(except?: Attempt): void {
+        for (const attempt of this.running) {
+            if (attempt !== except) {
+                attempt.supersede();
+            }
+        }
+    }
 }
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -100,7 +100,7 @@
             return callerLeftResult;
         }
         finally {
-            attempts.abort();
+            attempts.close();
         }
     }
 
