An engine that goes on after a silence gets new requests at once

Callers were refused although engines worked: when an engine fell silent, each of its stalled streams counted as a failure, which paused it for new requests for up to 5 s, also after it had gone on.

The pause that failures bring is kept apart from that of refusals, and ends when a stream whose stall was counted makes progress. The new test of RequestRouter fails without that call.

--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -290,9 +290,9 @@
         upstream: UsableUpstream,
         isLimitUsedUp: UpstreamSelectorDependencies["isLimitUsedUp"],
     ): boolean {
-        const { clock, isLeaving, pauses } = this.deps;
+        const { upstreamStats, isLeaving, pauses } = this.deps;
         const { record, name, stats } = upstream;
-        return clock.monotonic() >= stats.pausedUntil && pauses.remainingMs(name) <= 0 && !isLeaving(name)
+        return !upstreamStats.isPaused(stats) && pauses.remainingMs(name) <= 0 && !isLeaving(name)
             && !this.isFull(req, record, stats) && !isLimitUsedUp({ name, service: record.service })
             && this.maySendIfCold(req.service, upstream, name);
     }
--- a/src/common/gateway/UpstreamStatistics.ts
+++ b/src/common/gateway/UpstreamStatistics.ts
@@ -45,8 +45,10 @@
     /** Monotonic time of the last recorded success or failure, in ms. */
     failureRateAt: number;
     consecutiveFailures: number;
-    /** Monotonic time before which it gets no new requests, in ms. */
+    /** Monotonic time before which it gets no new requests because of a refusal, in ms. */
     pausedUntil: number;
+    /** The same because of failures. */
+    failurePausedUntil: number;
     /** Monotonic time of the last byte received on any connection, in ms. */
     lastByteAt: number;
 }
@@ -99,6 +101,7 @@
             failureRateAt: -Infinity,
             consecutiveFailures: 0,
             pausedUntil: -Infinity,
+            failurePausedUntil: -Infinity,
             lastByteAt: -Infinity,
         };
         this.stats.set(upstream, initial);
@@ -199,10 +202,22 @@
         this.updateFailureRate(stats, 1);
         if (stats.consecutiveFailures >= 2) {
             const pauseMs = INITIAL_PAUSE_MS * 2 ** Math.min(10, stats.consecutiveFailures - 2);
-            this.pause(stats, Math.min(MAX_PAUSE_MS, pauseMs));
+            const pausedUntil = this.clock.monotonic() + Math.min(MAX_PAUSE_MS, pauseMs);
+            stats.failurePausedUntil = Math.max(stats.failurePausedUntil, pausedUntil);
         }
     }
 
+    /** Records that an upstream goes on whose silence was recorded as failures. */
+    public recordResumption(stats: UpstreamStats): void {
+        stats.consecutiveFailures = 0;
+        stats.failurePausedUntil = -Infinity;
+    }
+
+    /** Whether the upstream gets no new requests. */
+    public isPaused(stats: UpstreamStats): boolean {
+        return this.clock.monotonic() < Math.max(stats.pausedUntil, stats.failurePausedUntil);
+    }
+
     /** Sends no new requests to the upstream for `ms`. */
     public pause(stats: UpstreamStats, ms: number): void {
         stats.pausedUntil = Math.max(stats.pausedUntil, this.clock.monotonic() + ms);
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -170,7 +170,10 @@
         this.progressAt = this.deps.clock.monotonic();
         if (this.stall !== undefined) {
             this.stall = undefined;
-            this.isStallRecorded = false;
+            if (this.isStallRecorded) {
+                this.isStallRecorded = false;
+                this.deps.upstreamStats.recordResumption(this.selection.stats);
+            }
             this.state.attempts.notify();
         }
     }
--- a/src/node/gateway/RequestRouter.test.ts
+++ b/src/node/gateway/RequestRouter.test.ts
@@ -205,7 +205,18 @@
     };
     await settle();
     const events = (): number[] => [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-    return { sent, usable, advance, events, result: () => result, budget, connection, state, body: () => body };
+    return {
+        sent,
+        usable,
+        advance,
+        events,
+        result: () => result,
+        budget,
+        connection,
+        state,
+        body: () => body,
+        upstreamStats,
+    };
 };
 
 const begin = async ({ sent }: { sent: readonly SentAttempt[]; }): Promise<void> => {
@@ -409,3 +420,15 @@
     assert.equal(setup.result()?.outcome, "served");
     assert.match(setup.body(), /event: done/);
 });
+
+test("RequestRouter: an upstream whose silence was taken for failures gets new requests once it goes on", async () => {
+    const setup = await createSetup({ maxAttempts: 1 });
+    const stats = setup.upstreamStats.statsOf("a");
+    await begin(setup);
+    setup.upstreamStats.recordFailure(stats);
+    await setup.advance(1000);
+    assert.equal(setup.upstreamStats.isPaused(stats), true);
+    setup.sent[0]?.sendEvent(2);
+    await settle();
+    assert.equal(setup.upstreamStats.isPaused(stats), false);
+});
