Comments and the broken end of an attempt don't abort its backup attempt

Cause: all that an attempt passes on, comments too, made it the one that is relayed, which aborts the others. An engine that sends a comment each 200 ms so aborted every backup attempt whose first event took longer than that, as on a busy machine. An attempt that ended within an event did the same before it failed.

Now only a further event, or a whole end, aborts the other attempts.

--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -351,21 +351,21 @@
             const isProgress = splitter.lastEventId !== idBefore || (idBefore === undefined && !isComment(events));
             if (isProgress) {
                 this.recordProgress();
+                state.attempts.relay(this);
             }
             else if (events.length === 0 || !state.attempts.isRelayed(this)) {
                 if (incompleteSize > MAX_EVENT_BYTES) {
                     return this.fail({ ...unusableResponse, message: "an event is too large" });
                 }
-                held.push(events);
+                if (events.length > 0) {
+                    held.push(events);
+                }
                 continue;
             }
             incompleteSize = splitter.partialLength;
             await this.relayEvents(head, splitter, [...held.splice(0), events]);
         }
-        if (held.some(({ length }) => length > 0)) {
-            await this.relayEvents(head, splitter, held);
-        }
-        if (splitter.partialLength > 0 || !call.reply.hasBegun) {
+        if (splitter.partialLength > 0 || (!call.reply.hasBegun && held.length === 0)) {
             return this.fail({
                 ...unusableResponse,
                 message: "the stream ended within an event",
@@ -373,6 +373,9 @@
             });
         }
         state.attempts.relay(this);
+        if (held.length > 0) {
+            await this.relayEvents(head, splitter, held);
+        }
         deps.upstreamStats.recordSuccess(stats);
         this.reportAnswer();
         const isWhole = state.firstEventMs === (this.firstEventAt ?? 0) - call.arrivedAt;
@@ -383,14 +386,13 @@
         return undefined;
     }
 
-    /** Passes events on to the caller, who from now on gets this attempt's. */
+    /** Passes events on to the caller. */
     private async relayEvents(
         head: ResponseHead,
         { lastEventId }: EventSplitter,
         events: readonly Buffer[],
     ): Promise<void> {
         const { deps, call, state } = this;
-        state.attempts.relay(this);
         state.lastEventId = lastEventId;
         this.recordEventTimes();
         if (!call.reply.hasBegun) {
