Control instances log what they know of each process under which connections broke

The logs told verdicts only: neither whether a crash counts, nor what still may be its cause. A line for each change now tells the end of the process (crashed, alive, unknown), the requests that ran on it and how many of them may be the cause. A crash that turns from crashed to alive shows lost evidence; one that stays crashed with few possible causes shows answers.

--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -51,6 +51,34 @@
     readonly runs: Map<string, Run>;
     /** Monotonic time at which a connection was refused, in ms. */
     refusedAt: number;
+    /** What was last reported of it; undefined before. */
+    finding: CrashFinding | undefined;
+}
+
+/** Result of an evaluation. */
+export interface CrashEvaluation {
+    readonly verdicts: readonly Verdict[];
+    readonly lifted: readonly Quarantine[];
+    readonly findings: readonly CrashFinding[];
+}
+
+/** What is known of a process under which connections broke. */
+export type ProcessEnd =
+    /** It has sent a heartbeat since. */
+    | "alive"
+    /** It has ended without having announced it. */
+    | "crashed"
+    /** Neither is known yet. */
+    | "unknown";
+
+/** A change of what is known of such a process, for logs. */
+export interface CrashFinding {
+    readonly upstream: string;
+    readonly start: number;
+    readonly end: ProcessEnd;
+    /** Number of requests whose connections broke, and of those that may be the cause. */
+    readonly runs: number;
+    readonly possibleCauses: number;
 }
 
 /** What has been blamed. */
@@ -94,7 +122,7 @@
         for (const { upstream, start, request, parts, ageMs, isRefused } of runs) {
             const name = `${upstream} ${start}`;
             const crash = this.crashes.get(name)
-                ?? { upstream, start, runs: new Map<string, Run>(), refusedAt: -Infinity };
+                ?? { upstream, start, runs: new Map<string, Run>(), refusedAt: -Infinity, finding: undefined };
             const at = now - ageMs;
             const previous = crash.runs.get(request);
             if (previous === undefined ? crash.runs.size < MAX_RUNS : previous.at < at) {
@@ -134,11 +162,11 @@
      * Updates the suspects, lifts the quarantines of what is answered after all, and quarantines what is to blame unless
      * `mayBlame` is false. To be called periodically.
      */
-    public evaluate(mayBlame: boolean): { readonly verdicts: Verdict[]; readonly lifted: Quarantine[]; } {
+    public evaluate(mayBlame: boolean): CrashEvaluation {
         const verdicts: Verdict[] = [];
         if (this.clock.monotonic() - this.lastRunAt > ACTIVE_MS) {
             this.updateSuspects([]);
-            return { verdicts, lifted: [] };
+            return { verdicts, lifted: [], findings: [] };
         }
         const lifted = this.quarantines.liftSound((key, crashedAt) => this.isAnsweredNear(key, crashedAt));
         const evidence = this.collectEvidence();
@@ -154,7 +182,22 @@
                 this.quarantines.merge({ keys: [...keys], ageMs: 0 });
             }
         }
-        return { verdicts, lifted };
+        return { verdicts, lifted, findings: this.takeFindings() };
+    }
+
+    /** What has become known of the processes since the last call. */
+    private takeFindings(): CrashFinding[] {
+        const findings: CrashFinding[] = [];
+        for (const crash of this.crashes.values()) {
+            const { upstream, start, runs, finding } = crash;
+            const end = this.findEnd(crash);
+            const possibleCauses = this.findPossibleCauses(crash).size;
+            if (end !== finding?.end || possibleCauses !== finding.possibleCauses) {
+                crash.finding = { upstream, start, end, runs: runs.size, possibleCauses };
+                findings.push(crash.finding);
+            }
+        }
+        return findings;
     }
 
     /** What is to blame for crashes that no quarantine explains: the keys of one quarantine each. */
@@ -214,19 +257,33 @@
         return evidence;
     }
 
-    private findPossibleCauses({ upstream, start, runs, refusedAt }: Crash): Map<string, ReadonlySet<string>> {
+    private findPossibleCauses(crash: Crash): Map<string, ReadonlySet<string>> {
+        const causes = new Map<string, ReadonlySet<string>>();
+        for (const [request, run] of crash.runs) {
+            if (this.findEndAfter(crash, run.at) === "crashed" && !this.isAnsweredNear(request, run.at)) {
+                causes.set(request, new Set(run.parts.filter(part => !this.isAnsweredNear(part, run.at))));
+            }
+        }
+        return causes;
+    }
+
+    private findEnd(crash: Crash): ProcessEnd {
+        return this.findEndAfter(crash, Math.max(...[...crash.runs.values()].map(({ at }) => at)));
+    }
+
+    /** What is known of a process after a connection broke at this monotonic time, in ms. */
+    private findEndAfter({ upstream, start, refusedAt }: Crash, at: number): ProcessEnd {
         const now = this.clock.monotonic();
         const current = this.directory.get(upstream);
         const isReplaced = current !== undefined && current.record.start > start;
+        if (isReplaced) {
+            return "crashed";
+        }
         const aliveAt = current?.record.start === start ? current.receivedAt - HEARTBEAT_DELAY_MS : -Infinity;
-        const causes = new Map<string, ReadonlySet<string>>();
-        for (const [request, { at, parts }] of runs) {
-            const hasEnded = isReplaced || (aliveAt < at && (refusedAt >= at || now - at > SILENCE_MS));
-            if (hasEnded && !this.isAnsweredNear(request, at)) {
-                causes.set(request, new Set(parts.filter(part => !this.isAnsweredNear(part, at))));
-            }
+        if (aliveAt >= at) {
+            return "alive";
         }
-        return causes;
+        return refusedAt >= at || now - at > SILENCE_MS ? "crashed" : "unknown";
     }
 
     private updateSuspects(suspects: readonly string[]): void {
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -7,7 +7,7 @@
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
-import { CrashHistory, type Verdict } from "./CrashHistory.ts";
+import { type CrashFinding, CrashHistory, type Verdict } from "./CrashHistory.ts";
 import { type Fleet } from "./FleetState.ts";
 import { HeldSessions } from "./HeldSessions.ts";
 import { type RouteOutcomeCounts, sumOutcomes } from "./OutcomeCounters.ts";
@@ -44,6 +44,8 @@
     readonly statements?: UpstreamStatements;
     /** Called for each verdict of this instance. */
     readonly onQuarantined?: (verdict: Verdict) => void;
+    /** Called when more has become known of a process under which connections broke. */
+    readonly onCrashFinding?: (finding: CrashFinding) => void;
     /** Called for each quarantine that this instance lifts. */
     readonly onQuarantineLifted?: (keys: readonly string[]) => void;
 }
@@ -155,7 +157,9 @@
     }
 
     private evaluateCrashes(): void {
-        const { verdicts, lifted } = this.crashes.evaluate(this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS);
+        const mayBlame = this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS;
+        const { verdicts, lifted, findings } = this.crashes.evaluate(mayBlame);
+        findings.forEach(finding => this.deps.onCrashFinding?.(finding));
         verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
         lifted.forEach(({ keys }) => this.deps.onQuarantineLifted?.(keys));
         this.announceCrashChange();
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -98,6 +98,7 @@
                 fleet: () => this.fleet,
                 confirmationAgeMs: () => this.confirmationAgeMs,
                 controls: () => [network.self, ...this.follower.reachableControls(ADVERTISED_FOR_MS)],
+                onCrashFinding: finding => log.info("Connections to an upstream broke under requests.", { ...finding }),
                 onQuarantineLifted: keys => log.warn("A quarantine is lifted: such requests are answered.", { keys }),
                 onQuarantined: ({ keys, upstreams }) => log.warn("Requests are quarantined.", { keys, upstreams }),
             }),
