Crashes count after other processes have registered at the upstreams' addresses

Callers saw requests with a fatal part end engine after engine where addresses are used again, also on a calm system on which such requests are rare. Cause: when another process registers at an address, the directory marked the old record as gone with the arrival time of the new one, and the crash history read that as a heartbeat of the dead process after its crash. Each crash counted only until its address was in use again.

A record that is gone now keeps the time of its process's own last message, on all instances, and says whether the end was announced. A process that has been replaced without announcing it has crashed; one that deregistered or was draining has not.

--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -40,14 +40,14 @@
         return this.history.quarantines.covers({ request: () => request, parts: keys });
     }
 
-    public heartbeat(id: string, seq: number, start = START): void {
+    public heartbeat(id: string, seq: number, start = START, port = ++this.port): void {
         const record: UpstreamRecord = {
             id,
             start,
             seq,
             service: "s",
             host: "10.0.0.1",
-            port: ++this.port,
+            port,
             domain: "d",
             version: "v1",
             slots: 4,
@@ -132,6 +132,32 @@
     assert.deepEqual(control.evaluate(), ["bad"]);
 });
 
+// BUDGET: each crash counted only until its upstream's address was in use again.
+test("CrashHistory: crashes count after other processes have registered at the addresses", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => {
+        control.heartbeat(upstream, 1, START, index + 1);
+        control.clock.advance(300);
+        control.crash(upstream, `r${index}: bad`);
+        control.clock.advance(4000);
+        control.heartbeat(`${upstream}-next`, 1, START + 1, index + 1);
+    });
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+});
+
+test("CrashHistory: a process that announced its end has not crashed", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => {
+        control.heartbeat(upstream, 1);
+        control.crash(upstream, `r${index}: sound`);
+        control.clock.advance(50);
+        control.directory.markGone(upstream, START);
+        control.crash(upstream, `s${index}: sound`);
+    });
+    control.clock.advance(4000);
+    assert.deepEqual(control.evaluate(), []);
+});
+
 test("CrashHistory: an instance that may lack reports blames no request", () => {
     const control = new History();
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "bad"));
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -68,6 +68,8 @@
     | "alive"
     /** It has ended without having announced it. */
     | "crashed"
+    /** It has announced its end. */
+    | "left"
     /** Neither is known yet. */
     | "unknown";
 
@@ -273,17 +275,17 @@
 
     /** What is known of a process after a connection broke at this monotonic time, in ms. */
     private findEndAfter({ upstream, start, refusedAt }: Crash, at: number): ProcessEnd {
-        const now = this.clock.monotonic();
         const current = this.directory.get(upstream);
-        const isReplaced = current !== undefined && current.record.start > start;
-        if (isReplaced) {
-            return "crashed";
-        }
-        const aliveAt = current?.record.start === start ? current.receivedAt - HEARTBEAT_DELAY_MS : -Infinity;
-        if (aliveAt >= at) {
+        const own = current?.record.start === start ? current : undefined;
+        if (own !== undefined && own.receivedAt - HEARTBEAT_DELAY_MS >= at) {
             return "alive";
         }
-        return refusedAt >= at || now - at > SILENCE_MS ? "crashed" : "unknown";
+        if (own?.record.state === "gone" && own.record.endedUnannounced !== true) {
+            return "left";
+        }
+        const isReplaced = own?.record.state === "gone" || (current?.record.start ?? -Infinity) > start;
+        const hasEnded = isReplaced || refusedAt >= at || this.clock.monotonic() - at > SILENCE_MS;
+        return hasEnded ? "crashed" : "unknown";
     }
 
     private updateSuspects(suspects: readonly string[]): void {
--- a/src/common/gateway/UpstreamDirectory.test.ts
+++ b/src/common/gateway/UpstreamDirectory.test.ts
@@ -48,6 +48,36 @@
     assert.equal(directory.merge(record({ id: "u3", start: 200 }), 0), false);
 });
 
+// BUDGET: the arrival of the later process was taken for a heartbeat of the ended one.
+test("UpstreamDirectory: a process that another one replaces at its address has given no sign of life by that", () => {
+    const { clock, directory } = create();
+    const other = new UpstreamDirectory(clock);
+    directory.merge(record({}), 0);
+    other.merge(record({}), 0);
+    clock.advance(300);
+    directory.merge(record({ id: "u2", start: 300 }), 0);
+    directory.changedSince(0).records.forEach(item =>
+        other.merge(item.record, clock.monotonic() - item.receivedAt, true)
+    );
+    for (
+        const { record: known, receivedAt } of [directory.get("u1"), other.get("u1")].filter(item => item !== undefined)
+    ) {
+        assert.deepEqual([known.state, known.endedUnannounced, receivedAt], ["gone", true, 1000]);
+    }
+});
+
+test("UpstreamDirectory: a process that left at its own request has announced its end, as has a draining one", () => {
+    const { clock, directory } = create();
+    directory.merge(record({}), 0);
+    clock.advance(300);
+    directory.markGone("u1", undefined);
+    directory.merge(record({ id: "u2", start: 300 }), 0);
+    directory.merge(record({ id: "u2", start: 300, seq: 2, state: "draining" }), 0);
+    directory.merge(record({ id: "u3", start: 600 }), 0);
+    assert.deepEqual(["u1", "u2"].map(id => directory.get(id)?.record.endedUnannounced), [false, false]);
+    assert.equal(directory.get("u1")?.receivedAt, 1300);
+});
+
 test("UpstreamDirectory: an unknown process can be marked as gone before its first record arrives", () => {
     const { directory } = create();
     directory.markGone("u9", 100);
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -98,7 +98,9 @@
                 // The process of this record has ended, and its address now belongs to another process.
                 return false;
             }
-            this.put({ ...other.record, state: "gone" }, ageMs, true);
+            // The other process gave no sign of life: its last record stays the newest one.
+            const endedUnannounced = other.record.state === "ready";
+            this.put({ ...other.record, state: "gone", endedUnannounced }, other.receivedAt, true);
         }
         const isUrgent = current === undefined || current.record.state !== record.state
             || current.record.start !== record.start || isColdAgain(record, current.record);
@@ -114,7 +116,9 @@
             this.changed.fire({ record, isUrgent: false });
             return true;
         }
-        this.put(record, ageMs, isUrgent);
+        const receivedAt = this.clock.monotonic() - ageMs;
+        const isSameProcess = current?.record.start === record.start;
+        this.put(record, isSameProcess ? Math.max(receivedAt, current.receivedAt) : receivedAt, isUrgent);
         return true;
     }
 
@@ -145,7 +149,7 @@
         if (start !== undefined && start < departed.start) {
             return;
         }
-        this.put({ ...departed, state: "gone" }, 0, true);
+        this.put({ ...departed, state: "gone", endedUnannounced: false }, this.clock.monotonic(), true);
     }
 
     /** Returns everything that changed after change number `since`. */
@@ -180,12 +184,13 @@
         return entry?.record.state === "gone" ? undefined : entry;
     }
 
-    private put(record: UpstreamRecord, ageMs: number, isUrgent: boolean): void {
+    /** `receivedAt`: monotonic time of the newest sign of life of the process, in ms. */
+    private put(record: UpstreamRecord, receivedAt: number, isUrgent: boolean): void {
         this.lastChange++;
         this.lastContentChange++;
         this.entries.set(record.id, {
             record,
-            receivedAt: this.clock.monotonic() - ageMs,
+            receivedAt,
             lastChange: this.lastChange,
             lastContentChange: this.lastChange,
         });
--- a/src/common/gateway/UpstreamRecord.ts
+++ b/src/common/gateway/UpstreamRecord.ts
@@ -19,6 +19,8 @@
     /** Number of requests that the upstream runs concurrently. */
     slots: z.number(),
     state: z.enum(["ready", "draining", "gone"]),
+    /** Whether the process has ended without announcing it: another one has registered at its address. */
+    endedUnannounced: z.boolean().optional(),
     /** Time until the upstream is warm, in ms, counted from when it sent the record. */
     coldMs: z.number(),
 });
@@ -46,6 +48,6 @@
 /** A record and when it was received from the upstream. */
 export interface ReceivedRecord {
     readonly record: UpstreamRecord;
-    /** Monotonic time, in ms. */
+    /** Monotonic time, in ms. For an upstream that is gone, that of its own last message. */
     readonly receivedAt: number;
 }
