All parts of a prompt may be to blame, the last one too

Cause: what was counted was narrower than what may be the cause. Keys were made of the first sixteen parts without the last, so the crashes of the cause were put down to what stood beside it. Now all parts have keys, of prompts with more than 128 those at either end. A part in the crashes of one request only is no suspect, so that parts of requests that come again don't crowd out others.

--- a/src/common/gateway/CallKeys.ts
+++ b/src/common/gateway/CallKeys.ts
@@ -1,11 +1,11 @@
 /**
  * What identifies a request when it comes again, and what it has in common with others: the request itself, and the parts
- * of its prompt. The last part is left out, as it belongs to the request or its session.
+ * of its prompt. The last part may belong to this request alone, or to a session, whose requests share it.
  */
 import { type Prompt } from "./ExchangeCodec.ts";
 
-/** Most parts of a prompt that are considered; the first ones are those that most requests share. */
-const MAX_PARTS = 16;
+/** Most parts from either end of a prompt that are considered, as keys travel between instances. */
+const MAX_PARTS = 64;
 /** Keys of parts whose ids are longer, or hold other characters, are hashed: keys travel between instances. */
 const PLAIN_ID = /^[\w.-]{1,40}$/;
 const PART_PREFIX = "part:";
@@ -29,6 +29,9 @@
     service: string,
     shortHash: (text: string) => string,
 ): Set<string> => {
-    const ids = prompt?.segments.slice(0, -1).slice(0, MAX_PARTS).map(({ id }) => id) ?? [];
-    return new Set(ids.map(id => `${PART_PREFIX}${service}/${PLAIN_ID.test(id) ? id : shortHash(id)}`));
+    const segments = prompt?.segments ?? [];
+    const considered = segments.length > 2 * MAX_PARTS
+        ? [...segments.slice(0, MAX_PARTS), ...segments.slice(-MAX_PARTS)]
+        : segments;
+    return new Set(considered.map(({ id }) => `${PART_PREFIX}${service}/${PLAIN_ID.test(id) ? id : shortHash(id)}`));
 };
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -112,6 +112,7 @@
 interface Suspicion {
     readonly key: string;
     readonly crashed: CrashedRun[];
+    readonly requests: Set<string>;
     /** Numbers of the crashes, and of those that count. */
     readonly crashes: Set<number>;
     readonly counted: Set<number>;
@@ -307,8 +308,8 @@
             for (const { name, runs } of processes) {
                 for (const [request, { startedAt, lastedMs, parts }] of runs) {
                     for (const key of [request, ...parts]) {
-                        const suspicion = found.get(key)
-                            ?? { key, crashed: [], crashes: new Set(), counted: new Set(), since: Infinity };
+                        const suspicion = found.get(key) ?? createSuspicion(key);
+                        suspicion.requests.add(request);
                         suspicion.crashed.push({ crash, process: name, startedAt, lastedMs });
                         suspicion.crashes.add(crash);
                         found.set(key, suspicion);
@@ -319,9 +320,10 @@
         const recentFrom = this.clock.monotonic() - ACTIVE_MS;
         const quarantined = new Set(this.quarantines.known.flat());
         for (const [key, suspicion] of found) {
-            const { crashed, crashes, counted } = suspicion;
+            const { crashed, crashes, counted, requests } = suspicion;
             const lastAt = moments[Math.max(...crashes)]?.at ?? -Infinity;
-            if (quarantined.has(key) || (crashes.size >= SUSPECT_CRASHES && lastAt >= recentFrom)) {
+            const isShared = !isPartKey(key) || requests.size > 1;
+            if (quarantined.has(key) || (isShared && crashes.size >= SUSPECT_CRASHES && lastAt >= recentFrom)) {
                 suspicion.since = this.comparison.crashingSince(key, crashed);
                 crashed.filter(run => run.startedAt >= suspicion.since).forEach(({ crash }) => counted.add(crash));
             }
@@ -417,6 +419,15 @@
     }
 }
 
+const createSuspicion = (key: string): Suspicion => ({
+    key,
+    crashed: [],
+    requests: new Set(),
+    crashes: new Set(),
+    counted: new Set(),
+    since: Infinity,
+});
+
 /** Whether a request with all of these keys was in the crash. */
 const isCausedBy = ({ processes, requests }: CrashEvidence, keys: readonly string[]): boolean =>
     processes.some(({ runs }) =>
--- a/src/common/gateway/RunSamples.ts
+++ b/src/common/gateway/RunSamples.ts
@@ -9,7 +9,7 @@
 /** Runs that began longer ago than this are dropped rather than newer ones at the same intervals, in ms. */
 const AGE_SCALE_MS = 500;
 /** Most keys, and how long a key is remembered after the start of its newest run, in ms. */
-const MAX_KEYS = 5000;
+const MAX_KEYS = 10_000;
 const RETENTION_MS = 30_000;
 /** Least time between two evictions, in ms. Each passes over the keys that were renewed since. */
 const EVICTION_PERIOD_MS = 1000;
