Sound parts are not blamed for crashes whose cause is not reported

Cause: the runs of the fatal part were missing from some crashes. Instances that are cut off don't know of the quarantine, go on sending such requests, and report them later; instances that started again have lost what they saw. A trace of each verdict shows the part that took the blame in just the crashes without a reported run of the cause.

While a quarantine is in force, crashes later than the last report of an entry instance in service blame nothing else; nor do crashes from before the start of a control instance, up to the last crash of a quarantine that others know. A quarantine explains all crashes in which a request with its parts ran. A resumed run that is complete no longer clears a part: it has run the end of the request only. What is known of a process's end is kept when the directory has forgotten it; before, an announced end became a crash after 30 s.

--- a/addons/fakes/RouterSetup.ts
+++ b/addons/fakes/RouterSetup.ts
@@ -142,7 +142,7 @@
         onLateStatement: () => undefined,
         onResponse: () => undefined,
         onUnanswered: () => undefined,
-        startRun: () => new ObservedRun(clock, () => undefined),
+        startRun: () => new ObservedRun(clock, false, () => undefined),
         onPace: () => undefined,
         onConnectionClosed: () => undefined,
         connections: {
--- a/src/common/gateway/CallKeys.test.ts
+++ b/src/common/gateway/CallKeys.test.ts
@@ -4,6 +4,7 @@
 
 const promptOf = (count: number) => ({
     tokens: count,
+    maxOutput: 1,
     segments: Array.from(Array(count).keys(), index => ({ id: `p${index}`, tokens: 1 })),
 });
 
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -64,8 +64,8 @@
     }
 
     /** Lets the time pass; returns the keys that are blamed meanwhile. */
-    public evaluate(ms = HEARD_MS): string[] {
-        const before = this.history.evaluate(true).verdicts;
+    public evaluate(ms = HEARD_MS, reportedUntil = Infinity): string[] {
+        const before = this.history.evaluate(true, reportedUntil).verdicts;
         this.clock.advance(ms);
         this.history.recordAnswers(
             "e",
@@ -77,7 +77,7 @@
                 allRequests: 10,
             })),
         );
-        const { verdicts } = this.history.evaluate(true);
+        const { verdicts } = this.history.evaluate(true, reportedUntil);
         return [...before, ...verdicts].map(({ keys }) => keys.join(" "));
     }
 
@@ -125,7 +125,7 @@
     const control = new History();
     const observer = new CrashObserver(control.clock);
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound"));
-    observer.startRun({ request: () => "sound", parts: new Set() }).complete();
+    observer.startRun({ request: () => "sound", parts: new Set() }, false).complete();
     control.history.evaluate(true);
     assert.deepEqual(control.history.suspects, ["sound"]);
     control.clock.advance(HEARD_MS);
@@ -184,6 +184,48 @@
     assert.deepEqual(control.history.evaluate(false).verdicts, []);
 });
 
+// BUDGET: the runs of the cause were lost with entry instances that started again, and what was beside it was refused.
+test("CrashHistory: crashes from before its own start don't add to quarantines that others know", () => {
+    const control = new History();
+    control.history.mergeQuarantines([{ keys: ["part:bad"], ageMs: 0 }]);
+    control.history.recordRuns(["u1", "u2", "u3"].map((upstream, index) => ({
+        upstream,
+        start: START,
+        request: `r${index}`,
+        parts: ["part:beside"],
+        ageMs: 1000 + 500 * index,
+        isRefused: true,
+    })));
+    assert.deepEqual(control.evaluate(), []);
+    ["u4", "u5", "u6"].forEach((upstream, index) => control.crash(upstream, `s${index}: other`));
+    assert.deepEqual(control.evaluate(), ["part:other"]);
+});
+
+test("CrashHistory: crashes that an instance out of touch may have caused add to no quarantine until it has reported", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => control.crash(upstream, `r${index}: bad`));
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+    const reportedUntil = control.clock.monotonic();
+    ["u4", "u5", "u6"].forEach((upstream, index) => control.crash(upstream, `s${index}: beside`));
+    assert.deepEqual(control.evaluate(HEARD_MS, reportedUntil), []);
+    assert.deepEqual(control.evaluate(), ["part:beside"]);
+});
+
+test("CrashHistory: an announced end stays known when the directory has forgotten the process", () => {
+    const control = new History();
+    ["u1", "u2", "u3"].forEach((upstream, index) => {
+        control.heartbeat(upstream, 1);
+        control.clock.advance(50);
+        control.directory.markGone(upstream, START);
+        control.crash(upstream, `r${index}: sound`);
+    });
+    control.history.evaluate(true);
+    control.clock.advance(31_000);
+    control.directory.evictStale();
+    control.crash("u4", "s: sound");
+    assert.deepEqual(control.evaluate(), []);
+});
+
 test("CrashHistory: a quarantine that another instance knows is renewed by a single crash", () => {
     const control = new History();
     control.history.mergeQuarantines([{ keys: ["bad"], ageMs: 299_000 }]);
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -1,13 +1,13 @@
 /**
  * Finds what crashes upstreams, from the observations of all entry instances: requests that come again, and parts that
- * requests share. A connection can break for many reasons, so a broken run counts only when the process of its upstream has
- * ended, and against a request or part only if hardly any other run with it that began as late has lasted as long. Control
- * instances ask all entry instances for such runs before they decide, and afterwards.
+ * requests share. A crash counts against a request or part only if hardly any other run with it that began as late has lasted
+ * as long. Control instances ask all entry instances for such runs before they decide, and afterwards.
  */
 import { type Clock } from "../time/Clock.ts";
 import { isPartKey } from "./CallKeys.ts";
 import { blame, type CrashEvidence, type Hearing } from "./CrashBlame.ts";
 import { type Answer, type BrokenRun } from "./CrashObserver.ts";
+import { type CrashFinding, CrashRecords, hasRunWith, isCausedBy, type Moment, type Run } from "./CrashRecords.ts";
 import { type Quarantine, QuarantineList } from "./QuarantineList.ts";
 import { type CrashedRun, RunComparison } from "./RunComparison.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
@@ -16,47 +16,15 @@
 const HEARING_MS = 1500;
 /** A part that at most this share of all requests have is rare. */
 const RARE_SHARE = 0.25;
-/** Crashes that come within this time of each other may have a common cause, and count once, in ms. */
-const MOMENT_MS = 100;
 /** Crashes from which entry instances are asked about a request or a part. */
 const SUSPECT_CRASHES = 2;
-/** A process whose heartbeats stop ends with its connections, even if its address doesn't refuse others, in ms. */
-const SILENCE_MS = 3000;
-/** A heartbeat that arrives within this time after the end of a connection may have been sent before, in ms. */
-const HEARTBEAT_DELAY_MS = 200;
 /** How long crashes are evaluated after the last broken run, in ms. */
 const ACTIVE_MS = 30_000;
-/** How long crashes are kept, in ms. */
-const RETENTION_MS = 600_000;
-const MAX_CRASHES = 300;
-/** Most requests that are kept of one crash. */
-const MAX_RUNS = 200;
 /** Most suspects that entry instances are asked about. */
 const MAX_SUSPECTS = 100;
 /** Most verdicts of one evaluation; the others follow in the next ones. */
 const MAX_VERDICTS = 10;
 
-interface Run {
-    /** Monotonic time at which the connection broke, in ms. */
-    readonly at: number;
-    /** Monotonic time at which the request was sent, in ms, and how long its response lasted. */
-    readonly startedAt: number;
-    readonly lastedMs: number;
-    readonly parts: readonly string[];
-}
-
-/** The possible crash of one process. */
-interface Crash {
-    readonly upstream: string;
-    readonly start: number;
-    /** Runs by the key of the request. */
-    readonly runs: Map<string, Run>;
-    /** Monotonic time at which a connection was refused, in ms. */
-    refusedAt: number;
-    /** What was last reported of it; undefined before. */
-    finding: CrashFinding | undefined;
-}
-
 /** Result of an evaluation. */
 export interface CrashEvaluation {
     readonly verdicts: readonly Verdict[];
@@ -64,27 +32,6 @@
     readonly findings: readonly CrashFinding[];
 }
 
-/** What is known of a process under which connections broke. */
-export type ProcessEnd =
-    /** It has sent a heartbeat since. */
-    | "alive"
-    /** It has ended without having announced it. */
-    | "crashed"
-    /** It has announced its end. */
-    | "left"
-    /** Neither is known yet. */
-    | "unknown";
-
-/** A change of what is known of such a process, for logs. */
-export interface CrashFinding {
-    readonly upstream: string;
-    readonly start: number;
-    readonly end: ProcessEnd;
-    /** Number of requests whose connections broke, and of those that may be the cause. */
-    readonly runs: number;
-    readonly possibleCauses: number;
-}
-
 /** What has been blamed. */
 export interface Verdict {
     /** Requests with all of these keys are quarantined. */
@@ -93,19 +40,9 @@
     readonly upstreams: readonly string[];
 }
 
-/** A process that has ended, and the runs that broke when it did, by the key of the request. */
-interface EndedProcess {
-    readonly name: string;
-    readonly upstream: string;
-    readonly runs: readonly (readonly [string, Run])[];
-    /** Monotonic time of the last broken run, in ms. */
-    readonly at: number;
-}
-
-/** Crashes at one moment; the first one's time. */
-interface Moment {
-    readonly processes: readonly EndedProcess[];
-    readonly at: number;
+/** What may be the cause of the crashes at one moment. */
+interface MomentEvidence extends CrashEvidence {
+    readonly moment: Moment;
 }
 
 /** The crashes during requests with one key, and since when they count against it. */
@@ -124,8 +61,7 @@
 export class CrashHistory {
     public readonly quarantines: QuarantineList;
     private readonly clock: Clock;
-    private readonly directory: UpstreamDirectory;
-    private readonly crashes = new Map<string, Crash>();
+    private readonly records: CrashRecords;
     /** Runs of requests with each suspect. */
     private readonly comparison = new RunComparison();
     /** What requests in recent crashes have in common, by key. */
@@ -138,11 +74,14 @@
     private readonly requestCounts = new Map<string, Map<string, Pick<Answer, "requests" | "allRequests">>>();
     private suspectKeys: readonly string[] = [];
     private lastRunAt = -Infinity;
+    /** Monotonic time at which this instance began to listen, in ms. */
+    private readonly startedAt: number;
 
     public constructor(clock: Clock, directory: UpstreamDirectory) {
         this.clock = clock;
-        this.directory = directory;
+        this.records = new CrashRecords(clock, directory);
         this.quarantines = new QuarantineList(clock);
+        this.startedAt = clock.monotonic();
     }
 
     /** Keys about which entry instances are asked; the same array until they change. */
@@ -151,21 +90,8 @@
     }
 
     public recordRuns(runs: readonly BrokenRun[]): void {
-        const now = this.clock.monotonic();
-        for (const { upstream, start, request, parts, ageMs, startedAgeMs = ageMs, lastedMs = 0, isRefused } of runs) {
-            const name = `${upstream} ${start}`;
-            const crash = this.crashes.get(name)
-                ?? { upstream, start, runs: new Map<string, Run>(), refusedAt: -Infinity, finding: undefined };
-            const at = now - ageMs;
-            const previous = crash.runs.get(request);
-            if (previous === undefined ? crash.runs.size < MAX_RUNS : previous.at < at) {
-                crash.runs.set(request, { at, startedAt: now - startedAgeMs, lastedMs, parts });
-            }
-            crash.refusedAt = isRefused ? Math.max(at, crash.refusedAt) : crash.refusedAt;
-            this.crashes.set(name, crash);
-            this.lastRunAt = now;
-        }
-        this.evictOld(now);
+        runs.forEach(run => this.records.recordRun(run));
+        this.lastRunAt = runs.length > 0 ? this.clock.monotonic() : this.lastRunAt;
     }
 
     /** Records what an entry instance knows of requests with the suspects. */
@@ -201,63 +127,59 @@
 
     /**
      * Updates the suspects, lifts the quarantines of what is answered after all, and quarantines what is to blame unless
-     * `mayBlame` is false. To be called periodically.
+     * `mayBlame` is false. To be called periodically. `reportedUntil`: monotonic time at which the entry instance that has been
+     * silent for longest last reported, in ms.
      */
-    public evaluate(mayBlame: boolean): CrashEvaluation {
+    public evaluate(mayBlame: boolean, reportedUntil = Infinity): CrashEvaluation {
         const verdicts: Verdict[] = [];
+        this.records.update();
         if (this.clock.monotonic() - this.lastRunAt > ACTIVE_MS) {
             this.suspicions = new Map();
             this.updateSuspects();
             return { verdicts, lifted: [], findings: [] };
         }
-        const moments = this.collectMoments();
+        const moments = this.records.collectMoments();
         this.suspicions = this.collectSuspicions(moments);
-        const lifted = this.quarantines.liftSound((key, crashedAt) =>
-            this.comparison.isRefuted(key, crashedAt, this.suspicions.get(key)?.crashed ?? [])
-        );
+        const lifted = this.quarantines.liftSound((key, crashedAt) => this.isRefuted(key, crashedAt));
         this.updateSuspects();
         const evidence = this.collectEvidence(moments);
         while (mayBlame && verdicts.length < MAX_VERDICTS) {
-            const culprits = this.blame(evidence);
+            const culprits = this.blame(evidence, reportedUntil);
             if (culprits.length === 0) {
                 break;
             }
             for (const keys of culprits) {
-                const upstreams = evidence.filter(crash => isCausedBy(crash, keys)).flatMap(({ processes }) =>
-                    processes.map(({ upstream }) => upstream)
-                );
+                const upstreams = moments.flatMap(({ processes }) => processes)
+                    .filter(process => hasRunWith(process, keys))
+                    .map(({ upstream }) => upstream);
                 verdicts.push({ keys, upstreams });
                 this.quarantines.merge({ keys: [...keys], ageMs: 0 });
             }
         }
-        return { verdicts, lifted, findings: this.takeFindings() };
-    }
-
-    /** What has become known of the processes since the last call. */
-    private takeFindings(): CrashFinding[] {
-        const findings: CrashFinding[] = [];
-        for (const crash of this.crashes.values()) {
-            const { upstream, start, runs, finding } = crash;
-            const end = this.findEnd(crash);
-            const possibleCauses = end === "crashed"
-                ? [...runs].filter(([request, run]) => this.countsAgainst(request, run) !== false).length
-                : 0;
-            if (end !== finding?.end || possibleCauses !== finding.possibleCauses) {
-                crash.finding = { upstream, start, end, runs: runs.size, possibleCauses };
-                findings.push(crash.finding);
-            }
-        }
-        return findings;
+        const findings = this.records.takeFindings((request, run) => this.countsAgainst(request, run) === false);
+        return { verdicts, lifted, findings };
     }
 
     /** What is to blame for crashes that no quarantine explains: the keys of one quarantine each. */
-    private blame(evidence: readonly CrashEvidence[]): readonly (readonly string[])[] {
+    private blame(evidence: readonly MomentEvidence[], reportedUntil: number): readonly (readonly string[])[] {
         const { known } = this.quarantines;
         const isKnown = (keys: readonly string[]): boolean =>
             known.some(other => other.length === keys.length && other.every(key => keys.includes(key)));
         // Quarantined requests may have a part that explains more crashes, and several parts may be narrowed down to one.
         const knownParts = known.filter(([key = "", ...others]) => others.length === 0 && isPartKey(key));
-        return blame(withoutCauses(evidence, knownParts), this.hearingOf, isKnown);
+        const unexplained = evidence.filter(({ moment }) =>
+            !knownParts.some(keys => isCausedBy(moment, keys)) && !this.mayBeExplained(moment, reportedUntil)
+        );
+        return blame(unexplained, this.hearingOf, isKnown);
+    }
+
+    /**
+     * Whether a quarantine may be for the crashes although no reported run shows it. Entry instances out of touch don't know of
+     * it, and report later what they sent; and who decided on it may have had reports that were lost since.
+     */
+    private mayBeExplained({ at }: Moment, reportedUntil: number): boolean {
+        const { lastCrashAt } = this.quarantines;
+        return (lastCrashAt > -Infinity && at > reportedUntil) || at <= Math.min(lastCrashAt, this.startedAt);
     }
 
     private readonly hearingOf = (key: string): Hearing => {
@@ -282,23 +204,11 @@
         return allRequests > 0 && requests <= allRequests * RARE_SHARE;
     }
 
-    /** The crashes, in the order of their times. */
-    private collectMoments(): Moment[] {
-        const ended = [...this.crashes].map(([name, crash]) => {
-            const runs = [...crash.runs].filter(([, { at }]) => this.findEndAfter(crash, at) === "crashed");
-            return { name, upstream: crash.upstream, runs, at: Math.max(...runs.map(([, { at }]) => at)) };
-        }).filter(({ runs }) => runs.length > 0).sort((a, b) => a.at - b.at);
-        const moments: { readonly processes: EndedProcess[]; readonly at: number; }[] = [];
-        for (const process of ended) {
-            const last = moments.at(-1);
-            if (last !== undefined && process.at - last.at <= MOMENT_MS) {
-                last.processes.push(process);
-            }
-            else {
-                moments.push({ processes: [process], at: process.at });
-            }
-        }
-        return moments;
+    /** Whether a request or part was quarantined wrongly: no crash counts against it, and it has been answered since the last one. */
+    private isRefuted(key: string, crashedAt: number): boolean {
+        const { counted, crashed } = this.suspicions.get(key) ?? createSuspicion(key);
+        const longestMs = Math.max(0, ...crashed.map(({ lastedMs }) => lastedMs));
+        return counted.size === 0 && this.comparison.hasAnswer(key, crashedAt, longestMs);
     }
 
     /** What requests in several crashes have in common, the newest of them not long ago; and what quarantines are for. */
@@ -335,13 +245,15 @@
     }
 
     /** The crashes, with what may be the cause. Renews the quarantines that explain some. */
-    private collectEvidence(moments: readonly Moment[]): CrashEvidence[] {
+    private collectEvidence(moments: readonly Moment[]): MomentEvidence[] {
         const now = this.clock.monotonic();
-        const evidence: CrashEvidence[] = [];
-        for (const { processes, at } of moments) {
+        const evidence: MomentEvidence[] = [];
+        for (const moment of moments) {
+            const { processes, at } = moment;
             const possibleParts = (run: Run): ReadonlySet<string> =>
                 new Set(run.parts.filter(part => this.countsAgainst(part, run) === true));
             const item = {
+                moment,
                 processes: processes.map(({ upstream, runs }) => ({
                     upstream,
                     runs: new Map(runs.map(([request, run]) => [request, possibleParts(run)])),
@@ -354,7 +266,7 @@
             };
             evidence.push(item);
             this.quarantines.known
-                .filter(keys => isCausedBy(item, keys))
+                .filter(keys => isCausedBy(moment, keys, (key, run) => this.countsAgainst(key, run) === true))
                 .forEach(keys => this.quarantines.merge({ keys: [...keys], ageMs: now - at }));
         }
         return evidence;
@@ -366,25 +278,6 @@
         return suspicion === undefined ? undefined : startedAt >= suspicion.since;
     }
 
-    private findEnd(crash: Crash): ProcessEnd {
-        return this.findEndAfter(crash, Math.max(...[...crash.runs.values()].map(({ at }) => at)));
-    }
-
-    /** What is known of a process after a connection broke at this monotonic time, in ms. */
-    private findEndAfter({ upstream, start, refusedAt }: Crash, at: number): ProcessEnd {
-        const current = this.directory.get(upstream);
-        const own = current?.record.start === start ? current : undefined;
-        if (own !== undefined && own.receivedAt - HEARTBEAT_DELAY_MS >= at) {
-            return "alive";
-        }
-        if (own?.record.state === "gone" && own.record.endedUnannounced !== true) {
-            return "left";
-        }
-        const isReplaced = own?.record.state === "gone" || (current?.record.start ?? -Infinity) > start;
-        const hasEnded = isReplaced || refusedAt >= at || this.clock.monotonic() - at > SILENCE_MS;
-        return hasEnded ? "crashed" : "unknown";
-    }
-
     private updateSuspects(): void {
         const now = this.clock.monotonic();
         const suspects = [...this.suspicions.values()]
@@ -408,15 +301,6 @@
             this.suspectKeys = suspects;
         }
     }
-
-    private evictOld(now: number): void {
-        for (const [name, { runs }] of this.crashes) {
-            const lastAt = Math.max(...[...runs.values()].map(({ at }) => at));
-            if (this.crashes.size > MAX_CRASHES || now - lastAt > RETENTION_MS) {
-                this.crashes.delete(name);
-            }
-        }
-    }
 }
 
 const createSuspicion = (key: string): Suspicion => ({
@@ -427,16 +311,3 @@
     counted: new Set(),
     since: Infinity,
 });
-
-/** Whether a request with all of these keys was in the crash. */
-const isCausedBy = ({ processes, requests }: CrashEvidence, keys: readonly string[]): boolean =>
-    processes.some(({ runs }) =>
-        [...runs].some(([request, parts]) =>
-            keys.every(key => isPartKey(key) ? parts.has(key) : request === key && requests.has(key))
-        )
-    );
-
-const withoutCauses = (
-    evidence: readonly CrashEvidence[],
-    causes: readonly (readonly string[])[],
-): CrashEvidence[] => evidence.filter(crash => !causes.some(keys => isCausedBy(crash, keys)));
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -41,7 +41,7 @@
     ageMs: z.number().optional(),
     /**
      * Runs of requests with the key that did not fail: time since each was sent, how long its response has lasted, in ms, and
-     * whether it is complete. Undefined from a build that doesn't report them.
+     * whether it ran the whole request and is complete. Undefined from a build that doesn't report them.
      */
     runs: z.array(z.tuple([z.number(), z.number(), z.boolean()])).optional(),
     /** Time since the newest answer to a request without the key, in ms. */
@@ -102,10 +102,10 @@
         }
     }
 
-    /** To be called when a request is sent to an upstream. */
-    public startRun({ request, parts }: CallKeys): ObservedRun {
+    /** To be called when a request is sent to an upstream. `isResumed`: another one has sent the beginning of the response. */
+    public startRun({ request, parts }: CallKeys, isResumed: boolean): ObservedRun {
         const keys = new Set([request(), ...parts]);
-        const run = new ObservedRun(this.clock, () => {
+        const run = new ObservedRun(this.clock, isResumed, () => {
             const answer = { at: this.clock.monotonic(), keys };
             this.newestAnswers = [...this.newestAnswers.slice(1 - NEWEST_ANSWERS), answer];
         });
--- a/src/common/gateway/FleetFollower.test.ts
+++ b/src/common/gateway/FleetFollower.test.ts
@@ -107,7 +107,7 @@
     /** Advances the time while other requests than the suspects are answered. */
     public async advanceAnswering(ms: number, { crashes }: TestEntry): Promise<void> {
         for (let elapsed = 0; elapsed < ms; elapsed += ANSWER_PERIOD_MS) {
-            crashes.startRun({ request: () => "other", parts: new Set() }).complete();
+            crashes.startRun({ request: () => "other", parts: new Set() }, false).complete();
             await this.advance(ANSWER_PERIOD_MS);
         }
     }
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -7,7 +7,8 @@
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type PeerReply, type PeerRequest } from "../peers/PeerCalls.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
-import { type CrashFinding, CrashHistory, type Verdict } from "./CrashHistory.ts";
+import { CrashHistory, type Verdict } from "./CrashHistory.ts";
+import { type CrashFinding } from "./CrashRecords.ts";
 import { type Fleet } from "./FleetState.ts";
 import { HeldSessions } from "./HeldSessions.ts";
 import { type RouteOutcomeCounts, sumOutcomes } from "./OutcomeCounters.ts";
@@ -158,7 +159,8 @@
 
     private evaluateCrashes(): void {
         const mayBlame = this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS;
-        const { verdicts, lifted, findings } = this.crashes.evaluate(mayBlame);
+        const lastCalls = [...this.followersInService.values()].map(({ lastCallAt }) => lastCallAt);
+        const { verdicts, lifted, findings } = this.crashes.evaluate(mayBlame, Math.min(...lastCalls));
         findings.forEach(finding => this.deps.onCrashFinding?.(finding));
         verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
         lifted.forEach(({ keys }) => this.deps.onQuarantineLifted?.(keys));
@@ -186,8 +188,7 @@
         const { clock, epoch, directory, fleet, confirmationAgeMs, controls, statements } = this.deps;
         const now = clock.monotonic();
         const { records, heartbeats } = directory.changedSince(since);
-        const entries = [...this.followers]
-            .filter(([, { role, lastCallAt }]) => role === "entry" && now - lastCallAt < ENTRY_TIMEOUT_MS);
+        const entries = [...this.followersInService];
         this.updateEntryIds(entries.map(([id]) => id));
         const heldSessions = this.heldSessions.changedSince(heldSessionsVersion);
         return {
@@ -217,6 +218,14 @@
         };
     }
 
+    /** The entry instances that have called lately, by id. */
+    private get followersInService(): Map<string, Follower> {
+        const oldest = this.deps.clock.monotonic() - ENTRY_TIMEOUT_MS;
+        return new Map(
+            [...this.followers].filter(([, { role, lastCallAt }]) => role === "entry" && lastCallAt > oldest),
+        );
+    }
+
     private updateEntryIds(ids: readonly string[]): void {
         const isSame = ids.length === this.entryIds.length && ids.every((id, index) => id === this.entryIds[index]);
         if (!isSame) {
--- a/src/common/gateway/QuarantineList.ts
+++ b/src/common/gateway/QuarantineList.ts
@@ -63,6 +63,13 @@
         return [...this.entries.values()].filter(entry => !isLifted(entry)).map(({ keys }) => keys);
     }
 
+    /** Monotonic time of the last crash for which a quarantine is in force, in ms; -Infinity if none is. */
+    public get lastCrashAt(): number {
+        return Math.max(
+            ...[...this.entries.values()].filter(entry => this.isInForce(entry)).map(entry => entry.crashedAt),
+        );
+    }
+
     /** Whether a quarantine in force covers the request. */
     public covers(call: CallKeys): boolean {
         for (const entry of this.entries.values()) {
--- a/src/common/gateway/RunComparison.test.ts
+++ b/src/common/gateway/RunComparison.test.ts
@@ -32,6 +32,12 @@
     assert.equal(crashingSince(crashed, run(1100, 300, true)), 1200);
 });
 
+test("RunComparison: few answers between many crashes don't clear a key, and one after them does", () => {
+    const crashed = crashedRuns([1000, 50], [1200, 60], [1400, 40], [1600, 50], [1800, 40]);
+    assert.equal(crashingSince(crashed, run(1700, 80, true)), 1000);
+    assert.equal(crashingSince(crashed, run(1900, 80, true)), Infinity);
+});
+
 // BUDGET: a stream that had gone on for a second cleared what later ended its upstream.
 test("RunComparison: runs that have lasted less than those that crashed say nothing", () => {
     const crashed = crashedRuns([1000, 1500], [1200, 1900], [1400, 1300]);
@@ -41,7 +47,13 @@
 
 test("RunComparison: many open runs that have lasted longer clear a key, and few don't, as they may still crash", () => {
     const crashed = crashedRuns([1000, 1500], [1200, 1900], [1400, 1300]);
-    assert.equal(crashingSince(crashed, run(1500, 2000, false)), 1000);
+    assert.equal(
+        crashingSince(
+            [...crashed, { crash: 3, process: "u3 1", startedAt: 1450, lastedMs: 1500 }],
+            run(1500, 2000, false),
+        ),
+        1000,
+    );
     assert.equal(crashingSince(crashed, ...Array<SampledRun>(3).fill(run(1500, 2000, false))), Infinity);
 });
 
@@ -50,15 +62,14 @@
     assert.equal(crashingSince(crashed, run(1450, 100, false)), Infinity);
 });
 
-test("RunComparison: what an instance reports replaces what it reported before, and a key is refuted by later runs only", () => {
+test("RunComparison: what an instance reports replaces what it reported before, and only complete runs are answers", () => {
     const comparison = new RunComparison();
-    const crashed = crashedRuns([1000, 50]);
     comparison.record("e", KEY, [run(1500, 100, true)]);
-    assert.equal(comparison.isRefuted(KEY, 1400, crashed), true);
-    assert.equal(comparison.isRefuted(KEY, 1600, crashed), false);
+    assert.equal(comparison.hasAnswer(KEY, 1400, 50), true);
+    assert.equal(comparison.hasAnswer(KEY, 1600, 50), false);
     comparison.record("e", KEY, [run(1500, 100, false)]);
-    assert.equal(comparison.isRefuted(KEY, 1400, crashed), false);
+    assert.equal(comparison.hasAnswer(KEY, 1400, 50), false);
     comparison.record("e", KEY, [run(1500, 100, true)]);
     comparison.forget(KEY);
-    assert.equal(comparison.isRefuted(KEY, 1400, crashed), false);
+    assert.equal(comparison.hasAnswer(KEY, 1400, 50), false);
 });
--- a/src/common/gateway/RunComparison.ts
+++ b/src/common/gateway/RunComparison.ts
@@ -4,7 +4,7 @@
  * compared, not the ends: a run that began before says nothing about a part that became fatal meanwhile.
  */
 
-/** A key is suspected while it has at least this many crashes for each process on which runs have lasted as long. */
+/** A key is suspected while it has more than this many crashes for each process on which runs have lasted as long. */
 const CRASHES_PER_SOUND_PROCESS = 3;
 /** Most starts of crashed runs from which the comparison is tried. */
 const MAX_STARTS = 30;
@@ -17,7 +17,7 @@
     readonly startedAt: number;
     /** In ms; 0 if no response began. */
     readonly lastedMs: number;
-    /** Whether the response is complete. */
+    /** Whether it ran the whole request, and the response is complete. */
     readonly isComplete: boolean;
 }
 
@@ -46,25 +46,29 @@
 
     /** Monotonic time of the start from which on most runs with the key have crashed upstreams, in ms; Infinity if there is none. */
     public crashingSince(key: string, crashed: readonly CrashedRun[]): number {
+        const longestMs = Math.max(0, ...crashed.map(({ lastedMs }) => lastedMs));
+        const lastStart = Math.max(...crashed.map(({ startedAt }) => startedAt));
+        if (this.hasAnswer(key, lastStart, longestMs)) {
+            return Infinity;
+        }
         const sound = this.soundRuns(key);
         const starts = [...new Set(crashed.map(({ startedAt }) => startedAt))].sort((a, b) => a - b);
         return starts.slice(-MAX_STARTS).find(start => {
             const counted = crashed.filter(({ startedAt }) => startedAt >= start);
             const longest = longestByCrash(counted);
             const comparedMs = longest[Math.ceil(longest.length * COMPARED_QUANTILE) - 1] ?? 0;
-            const later = sound.filter(({ startedAt }) => startedAt >= start);
-            const lasting = later.filter(({ lastedMs }) => lastedMs >= comparedMs);
+            const lasting = sound.filter(({ startedAt, lastedMs }) => startedAt >= start && lastedMs >= comparedMs);
             // A process that hasn't crashed runs as many requests with the key as one that has.
             const runsPerProcess = counted.length / new Set(counted.map(({ process }) => process)).size;
-            return !later.some(run => hasOutlasted(run, longest.at(-1) ?? 0))
-                && longest.length * runsPerProcess >= CRASHES_PER_SOUND_PROCESS * lasting.length;
+            return longest.length * runsPerProcess > CRASHES_PER_SOUND_PROCESS * lasting.length;
         }) ?? Infinity;
     }
 
-    /** Whether a run with the key that began after `since` is complete, and lasted as long as those that crashed. */
-    public isRefuted(key: string, since: number, crashed: readonly CrashedRun[]): boolean {
-        const longestMs = Math.max(0, ...crashed.map(({ lastedMs }) => lastedMs));
-        return this.soundRuns(key).some(run => run.startedAt >= since && hasOutlasted(run, longestMs));
+    /** Whether a run with the key that was sent no earlier than `since` has been answered, and lasted at least `ms`. */
+    public hasAnswer(key: string, since: number, ms: number): boolean {
+        return this.soundRuns(key).some(({ startedAt, lastedMs, isComplete }) =>
+            isComplete && startedAt >= since && lastedMs >= ms
+        );
     }
 
     private soundRuns(key: string): readonly SampledRun[] {
@@ -72,9 +76,6 @@
     }
 }
 
-/** Whether the run is complete, and lasted at least this long, in ms. An incomplete one may still crash its upstream. */
-const hasOutlasted = ({ isComplete, lastedMs }: SampledRun, ms: number): boolean => isComplete && lastedMs >= ms;
-
 /** How long the longest run of each crash lasted, in ascending order, in ms. */
 const longestByCrash = (runs: readonly CrashedRun[]): number[] => {
     const longest = new Map<number, number>();
--- a/src/common/gateway/RunSamples.test.ts
+++ b/src/common/gateway/RunSamples.test.ts
@@ -8,7 +8,7 @@
 test("ObservedRun: it lasts from its first to its newest part, and counts as answered when complete or long", () => {
     const clock = new ManualClock(0);
     let answers = 0;
-    const observed = new ObservedRun(clock, () => answers++);
+    const observed = new ObservedRun(clock, false, () => answers++);
     clock.advance(300);
     assert.deepEqual([observed.lastedMs, observed.isSound], [0, false]);
     observed.recordProgress();
@@ -27,7 +27,7 @@
     const clock = new ManualClock(0);
     const samples = new RunSamples(clock);
     for (let index = 0; index < 2000; index++) {
-        const observed = new ObservedRun(clock, ignore);
+        const observed = new ObservedRun(clock, false, ignore);
         observed.recordProgress();
         samples.add(observed, ["k"]);
         clock.advance(10);
@@ -42,7 +42,7 @@
 test("RunSamples: failed runs are left out, and keys without a recent run are forgotten", () => {
     const clock = new ManualClock(0);
     const samples = new RunSamples(clock);
-    const [first, second] = [new ObservedRun(clock, ignore), new ObservedRun(clock, ignore)];
+    const [first, second] = [new ObservedRun(clock, false, ignore), new ObservedRun(clock, false, ignore)];
     [first, second].forEach(observed => {
         observed.recordProgress();
         samples.add(observed, ["k"]);
@@ -50,6 +50,6 @@
     first.fail();
     assert.deepEqual(samples.soundRuns("k"), [second]);
     clock.advance(31_000);
-    samples.add(new ObservedRun(clock, ignore), ["other"]);
+    samples.add(new ObservedRun(clock, false, ignore), ["other"]);
     assert.deepEqual(samples.soundRuns("k"), []);
 });
--- a/src/common/gateway/RunSamples.ts
+++ b/src/common/gateway/RunSamples.ts
@@ -21,6 +21,7 @@
     /** Monotonic time at which the request was sent, in ms. */
     public readonly startedAt: number;
     private readonly clock: Clock;
+    private readonly isResumed: boolean;
     private readonly onAnswered: () => void;
     /** Monotonic times at which the response began and last went on, in ms. */
     private respondedAt: number | undefined;
@@ -29,9 +30,13 @@
     private hasEnded = false;
     private hasFailed = false;
 
-    /** `onAnswered` is called once the upstream has answered, or has been answering for long. */
-    public constructor(clock: Clock, onAnswered: () => void) {
+    /**
+     * @param isResumed whether another run has sent the beginning of the response
+     * @param onAnswered called once the upstream has answered, or has been answering for long
+     */
+    public constructor(clock: Clock, isResumed: boolean, onAnswered: () => void) {
         this.clock = clock;
+        this.isResumed = isResumed;
         this.onAnswered = onAnswered;
         this.startedAt = clock.monotonic();
     }
@@ -46,9 +51,9 @@
         return this.isAnswered ? this.progressAt : undefined;
     }
 
-    /** Whether the response is complete. */
+    /** Whether it ran the whole request, and the response is complete. */
     public get isComplete(): boolean {
-        return this.hasEnded;
+        return this.hasEnded && !this.isResumed;
     }
 
     /** Whether it shows how long such requests last: its response has begun, and it hasn't failed. */
--- a/src/node/gateway/Attempt.test.ts
+++ b/src/node/gateway/Attempt.test.ts
@@ -61,7 +61,7 @@
         isSpared: () => false,
         onStatement: () => undefined,
         onResponse: () => undefined,
-        startRun: () => new ObservedRun(clock, () => undefined),
+        startRun: () => new ObservedRun(clock, false, () => undefined),
         onPace: () => undefined,
     };
     const route = { name: "r", kind: "stream", gapMs: 600, objectiveMs: 1000, isResumable: true, maxAttempts: 3 };
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -63,7 +63,7 @@
         this.reservation = target.reservation;
         this.exchange = exchange;
         this.onEnded = onEnded;
-        this.observed = deps.startRun(call);
+        this.observed = deps.startRun(call, (state.lastEventId ?? call.req.resumeAfter) !== undefined);
         this.pace = new EventPace(paceMs => deps.onPace(call, target.selection, paceMs));
         this.sentAt = deps.clock.monotonic();
         this.progressAt = this.sentAt;
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -318,7 +318,7 @@
                 hasQuorumContact: () => this.hasQuorumContact,
                 models,
                 replyBuffers: createReplyBuffers(clock, log, metrics),
-                startRun: ({ keys }) => observer.startRun(keys),
+                startRun: ({ keys }, isResumed) => observer.startRun(keys, isResumed),
                 onConnectionClosed: (call, selection, run) =>
                     void reportBrokenRun({ clock, log, directory, connections, observer }, call, selection, run),
                 onResponse: (call, { record }, latencyMs) =>
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -30,8 +30,8 @@
     readonly hasQuorumContact: () => boolean;
     readonly models: ModelChoice;
     readonly replyBuffers: ReplyBuffers;
-    /** Called when an attempt is sent; returns what is to be told how it goes on. */
-    readonly startRun: (call: Call) => ObservedRun;
+    /** Called when an attempt is sent, whether to resume a response or not; returns what is to be told how it goes on. */
+    readonly startRun: (call: Call, isResumed: boolean) => ObservedRun;
     /** Called when the upstream closed the connection while the request ran. */
     readonly onConnectionClosed: (call: Call, selection: Selection, run: ObservedRun) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
