A part in many crashed runs is compared from its early crashes on, too

The comparison was tried from the newest thirty starts of crashed runs. It is now tried from the first and last start in each of the newest thirty crashes.

--- a/src/common/gateway/RunComparison.ts
+++ b/src/common/gateway/RunComparison.ts
@@ -6,8 +6,8 @@
 
 /** A key is suspected while it has more than this many crashes for each process on which runs have lasted as long. */
 const CRASHES_PER_SOUND_PROCESS = 3;
-/** Most starts of crashed runs from which the comparison is tried. */
-const MAX_STARTS = 30;
+/** Most crashes from whose runs on the comparison is tried. */
+const MAX_CRASHES = 30;
 /** The runs that last as long as this quantile of the crashed ones are compared. */
 const COMPARED_QUANTILE = 0.75;
 
@@ -52,8 +52,7 @@
             return Infinity;
         }
         const sound = this.soundRuns(key);
-        const starts = [...new Set(crashed.map(({ startedAt }) => startedAt))].sort((a, b) => a - b);
-        return starts.slice(-MAX_STARTS).find(start => {
+        return startsByCrash(crashed).find(start => {
             const counted = crashed.filter(({ startedAt }) => startedAt >= start);
             const longest = longestByCrash(counted);
             const comparedMs = longest[Math.ceil(longest.length * COMPARED_QUANTILE) - 1] ?? 0;
@@ -84,3 +83,14 @@
     }
     return [...longest.values()].sort((a, b) => a - b);
 };
+
+/** The first and last starts of the runs in each of the newest crashes, in ascending order. */
+const startsByCrash = (runs: readonly CrashedRun[]): number[] => {
+    const starts = new Map<number, number[]>();
+    for (const { crash, startedAt } of runs) {
+        const [first = startedAt, last = startedAt] = starts.get(crash) ?? [];
+        starts.set(crash, [Math.min(first, startedAt), Math.max(last, startedAt)]);
+    }
+    const newest = [...starts.keys()].sort((a, b) => a - b).slice(-MAX_CRASHES);
+    return newest.flatMap(crash => starts.get(crash) ?? []).sort((a, b) => a - b);
+};
