Crashed runs are compared with others of the same sample, and a part that was never answered is suspected first

Causes, each seen in a trace: of popular parts only a sample of the sound runs is known, but all crashed ones, so that sound parts counted; suspects that had been cleared fell out of the list of a hundred, were forgotten and had to be heard again, without end; and of twenty parts in the same crashes none was preferred.

Entry instances sample failed runs like others, and runs that lasted as long as half of the crashed ones are compared within the sample. Suspects are listed by all their crashes. Among parts in the same crashes, those that were never answered come first.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -50,6 +50,7 @@
 export const blame = (
     crashes: readonly CrashEvidence[],
     hearingOf: (key: string) => Hearing,
+    wasAnswered: (key: string) => boolean,
     isKnown: (keys: readonly string[]) => boolean,
 ): readonly (readonly string[])[] => {
     let rest = crashes;
@@ -60,7 +61,11 @@
     for (;;) {
         const requests = collect(rest, requestsOf);
         const most = sizeOfLargest(requests);
-        const parts = blameParts(collect(rest, partsOf).filter(({ crashes: own }) => own.size > most), hearingOf);
+        const parts = blameParts(
+            collect(rest, partsOf).filter(({ crashes: own }) => own.size > most),
+            hearingOf,
+            wasAnswered,
+        );
         if (parts.length > 0) {
             const keys = parts.map(({ key }) => key);
             if (!isKnown(keys)) {
@@ -87,15 +92,22 @@
  * The part to blame; several if requests with all of them were in all these crashes, as then only such requests are known to cause
  * crashes. Of others that were in just the same crashes, one is preferred after enough crashes if it was in more processes.
  */
-const blameParts = (suspicions: readonly Suspicion[], hearingOf: (key: string) => Hearing): readonly Suspicion[] => {
+const blameParts = (
+    suspicions: readonly Suspicion[],
+    hearingOf: (key: string) => Hearing,
+    wasAnswered: (key: string) => boolean,
+): readonly Suspicion[] => {
     const possible = suspicions.filter(item =>
         item.crashes.size >= PART_CRASHES && crashesOfOthers(item) >= PART_CRASHES_OF_OTHERS
         && hearingOf(item.key) !== "shared"
     );
     const most = sizeOfLargest(possible);
-    const top = possible.filter(item => item.crashes.size === most).sort((a, b) => processCount(b) - processCount(a));
+    const inMost = possible.filter(item => item.crashes.size === most);
+    // A part that was never answered is likelier to be the cause than one that would have to have become it.
+    const neverAnswered = inMost.filter(({ key }) => !wasAnswered(key));
+    const top = (neverAnswered.length > 0 ? neverAnswered : inMost).sort((a, b) => processCount(b) - processCount(a));
     const [first] = top;
-    if (first === undefined || top.some(({ key }) => hearingOf(key) === "pending")) {
+    if (first === undefined || inMost.some(({ key }) => hearingOf(key) === "pending")) {
         return [];
     }
     const together: Suspicion[] = [];
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -3,12 +3,14 @@
 import { ManualClock } from "../time/ManualClock.ts";
 import { CrashHistory } from "./CrashHistory.ts";
 import { type Answer, CrashObserver } from "./CrashObserver.ts";
+import { runOutcomes } from "./RunSamples.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
 import { type UpstreamRecord } from "./UpstreamRecord.ts";
 
 /** Time after which entry instances have been heard, and two evaluations have taken place, in ms. */
 const HEARD_MS = 1700;
 const START = 1;
+const COMPLETE = runOutcomes.indexOf("complete");
 /** Time between two crashes of which one can't have caused the other, nor both have had a common cause, in ms. */
 const CRASH_GAP_MS = 150;
 
@@ -83,7 +85,7 @@
 
     private runsOf(key: string): Pick<Answer, "runs"> {
         const at = this.answeredAt.get(key);
-        return at === undefined ? {} : { runs: [[this.clock.monotonic() - at, 0, true]] };
+        return at === undefined ? {} : { runs: [[this.clock.monotonic() - at, 0, COMPLETE]] };
     }
 }
 
@@ -163,6 +165,31 @@
     assert.deepEqual(control.evaluate(), ["part:bad"]);
 });
 
+test("CrashHistory: a process whose address accepts connections has crashed only if another one has registered there", () => {
+    const control = new History();
+    const breakAccepted = (upstream: string, request: string): void => {
+        control.clock.advance(CRASH_GAP_MS);
+        control.history.recordRuns([{
+            upstream,
+            start: START,
+            request,
+            parts: ["part:bad"],
+            ageMs: 0,
+            isRefused: false,
+            isAccepted: true,
+        }]);
+    };
+    ["u1", "u2", "u3"].forEach((upstream, index) => {
+        control.heartbeat(upstream, 1, START, index + 1);
+        control.clock.advance(300);
+        breakAccepted(upstream, `r${index}`);
+    });
+    control.clock.advance(4000);
+    assert.deepEqual(control.evaluate(), []);
+    ["u1", "u2", "u3"].forEach((upstream, index) => control.heartbeat(`${upstream}-next`, 1, START + 1, index + 1));
+    assert.deepEqual(control.evaluate(), ["part:bad"]);
+});
+
 test("CrashHistory: a process that announced its end has not crashed", () => {
     const control = new History();
     ["u1", "u2", "u3"].forEach((upstream, index) => {
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -10,6 +10,7 @@
 import { type CrashFinding, CrashRecords, hasRunWith, isCausedBy, type Moment, type Run } from "./CrashRecords.ts";
 import { type Quarantine, QuarantineList } from "./QuarantineList.ts";
 import { type CrashedRun, RunComparison } from "./RunComparison.ts";
+import { runOutcomes } from "./RunSamples.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** Time in which entry instances can report answers before a suspect is blamed, in ms. */
@@ -103,14 +104,15 @@
                 continue;
             }
             counts.set(from, { requests, allRequests });
-            const known = runs ?? (ageMs === undefined ? [] : [[ageMs, Infinity, true] as const]);
+            const known = runs
+                ?? (ageMs === undefined ? [] : [[ageMs, Infinity, runOutcomes.indexOf("complete")] as const]);
             this.comparison.record(
                 from,
                 key,
-                known.map(([startedAgeMs, lastedMs, isComplete]) => ({
+                known.map(([startedAgeMs, lastedMs, outcome]) => ({
                     startedAt: now - startedAgeMs,
                     lastedMs,
-                    isComplete,
+                    outcome: runOutcomes[outcome] ?? "open",
                 })),
             );
             if (othersAgeMs !== undefined) {
@@ -170,7 +172,8 @@
         const unexplained = evidence.filter(({ moment }) =>
             !knownParts.some(keys => isCausedBy(moment, keys)) && !this.mayBeExplained(moment, reportedUntil)
         );
-        return blame(unexplained, this.hearingOf, isKnown);
+        const wasAnswered = (key: string): boolean => this.comparison.hasAnswer(key, -Infinity, 0);
+        return blame(unexplained, this.hearingOf, wasAnswered, isKnown);
     }
 
     /**
@@ -282,7 +285,8 @@
         const now = this.clock.monotonic();
         const suspects = [...this.suspicions.values()]
             .filter(({ crashes }) => crashes.size >= SUSPECT_CRASHES)
-            .sort((a, b) => b.counted.size - a.counted.size || b.crashes.size - a.crashes.size)
+            // Those that other runs have cleared stay listed, or they would no longer be reported, and count again.
+            .sort((a, b) => b.crashes.size - a.crashes.size || b.counted.size - a.counted.size)
             .slice(0, MAX_SUSPECTS)
             .map(({ key }) => key);
         for (const key of this.askedSince.keys()) {
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -4,7 +4,7 @@
 import * as z from "zod";
 import { type Clock } from "../time/Clock.ts";
 import { type CallKeys } from "./CallKeys.ts";
-import { ObservedRun, RunSamples } from "./RunSamples.ts";
+import { ObservedRun, runOutcomes, RunSamples } from "./RunSamples.ts";
 
 /** How long a broken run is kept for control instances that have started again, in ms. */
 const RUN_RETENTION_MS = 120_000;
@@ -30,6 +30,8 @@
     lastedMs: z.number().optional(),
     /** Whether nothing listened at the upstream's address right afterwards. */
     isRefused: z.boolean(),
+    /** Whether something listened there; undefined from a build that reports no such runs. */
+    isAccepted: z.boolean().optional(),
 });
 
 /** A request whose connection broke while its upstream may have run it. */
@@ -40,10 +42,10 @@
     /** Time since the newest answer to a request with the key, in ms. Builds without `runs` clear it of earlier crashes. */
     ageMs: z.number().optional(),
     /**
-     * Runs of requests with the key that did not fail: time since each was sent, how long its response has lasted, in ms, and
-     * whether it ran the whole request and is complete. Undefined from a build that doesn't report them.
+     * A sample of the runs of requests with the key: time since each was sent, how long its response has lasted, in ms, and its
+     * outcome as an index into `runOutcomes`. Undefined from a build that doesn't report them.
      */
-    runs: z.array(z.tuple([z.number(), z.number(), z.boolean()])).optional(),
+    runs: z.array(z.tuple([z.number(), z.number(), z.number()])).optional(),
     /** Time since the newest answer to a request without the key, in ms. */
     othersAgeMs: z.number().optional(),
     /** Of the newest requests, how many have the key, and how many there are. */
@@ -118,7 +120,9 @@
         const now = this.clock.monotonic();
         const reported = this.runs.filter(({ number }) => number > since).slice(0, MAX_REPORTED_RUNS);
         return {
-            runs: reported.map(({ upstream, start, request, parts, at, startedAt, lastedMs, isRefused }) => ({
+            runs: reported.map((
+                { upstream, start, request, parts, at, startedAt, lastedMs, isRefused, isAccepted },
+            ) => ({
                 upstream,
                 start,
                 request,
@@ -127,6 +131,7 @@
                 startedAgeMs: now - startedAt,
                 lastedMs,
                 isRefused,
+                isAccepted,
             })),
             last: reported.at(-1)?.number ?? since,
         };
@@ -137,17 +142,18 @@
         const now = this.clock.monotonic();
         const requests = this.newestRequests.slice(-NEWEST_REQUESTS);
         return keys.map(key => {
-            const runs = this.samples.soundRuns(key);
-            const at = Math.max(...runs.map(({ answeredAt = -Infinity }) => answeredAt));
+            const runs = this.samples.runsOf(key);
+            const sound = runs.filter(({ outcome }) => outcome !== "failed");
+            const at = Math.max(...sound.map(({ answeredAt = -Infinity }) => answeredAt));
             const other = this.newestAnswers.findLast(answer => !answer.keys.has(key));
             return {
                 key,
                 ...(at === -Infinity ? {} : { ageMs: now - at }),
                 ...(other === undefined ? {} : { othersAgeMs: now - other.at }),
-                runs: runs.map(({ startedAt, lastedMs, isComplete }) => [
+                runs: runs.map(({ startedAt, lastedMs, outcome }) => [
                     Math.round(now - startedAt),
                     Math.round(lastedMs),
-                    isComplete,
+                    runOutcomes.indexOf(outcome),
                 ]),
                 requests: requests.filter(parts => parts.has(key)).length,
                 allRequests: requests.length,
--- a/src/common/gateway/CrashRecords.ts
+++ b/src/common/gateway/CrashRecords.ts
@@ -57,6 +57,8 @@
     readonly runs: Map<string, Run>;
     /** Monotonic time at which a connection was refused, in ms. */
     refusedAt: number;
+    /** Monotonic time at which a connection was accepted, by this process or another one at its address, in ms. */
+    acceptedAt: number;
     /** Monotonic time of the newest message of the process, in ms; kept when the directory has forgotten it. */
     heardAt: number;
     /** Whether it has announced its end; whether another process has taken its id or address. */
@@ -93,9 +95,9 @@
         this.directory = directory;
     }
 
-    public recordRun(
-        { upstream, start, request, parts, ageMs, startedAgeMs = ageMs, lastedMs = 0, isRefused }: BrokenRun,
-    ): void {
+    public recordRun(run: BrokenRun): void {
+        const { upstream, start, request, parts, ageMs, startedAgeMs = ageMs, lastedMs = 0, isRefused, isAccepted } =
+            run;
         const now = this.clock.monotonic();
         const name = `${upstream} ${start}`;
         const process = this.processes.get(name) ?? createRecord(upstream, start);
@@ -105,6 +107,7 @@
             process.runs.set(request, { at, startedAt: now - startedAgeMs, lastedMs, parts });
         }
         process.refusedAt = isRefused ? Math.max(at, process.refusedAt) : process.refusedAt;
+        process.acceptedAt = isAccepted === true ? Math.max(at, process.acceptedAt) : process.acceptedAt;
         this.processes.set(name, process);
         this.evictOld(now);
     }
@@ -162,14 +165,15 @@
     }
 
     /** What is known of a process after a connection broke at this monotonic time, in ms. */
-    private findEnd({ refusedAt, heardAt, hasLeft, isReplaced }: ProcessRecord, at: number): ProcessEnd {
+    private findEnd({ refusedAt, acceptedAt, heardAt, hasLeft, isReplaced }: ProcessRecord, at: number): ProcessEnd {
         if (heardAt - HEARTBEAT_DELAY_MS >= at) {
             return "alive";
         }
         if (hasLeft) {
             return "left";
         }
-        return isReplaced || refusedAt >= at || this.clock.monotonic() - at > SILENCE_MS ? "crashed" : "unknown";
+        const isSilent = this.clock.monotonic() - at > SILENCE_MS && acceptedAt < at;
+        return isReplaced || refusedAt >= at || isSilent ? "crashed" : "unknown";
     }
 
     private evictOld(now: number): void {
@@ -203,6 +207,7 @@
     start,
     runs: new Map(),
     refusedAt: -Infinity,
+    acceptedAt: -Infinity,
     heardAt: -Infinity,
     hasLeft: false,
     isReplaced: false,
--- a/src/common/gateway/RunComparison.test.ts
+++ b/src/common/gateway/RunComparison.test.ts
@@ -11,7 +11,7 @@
 const run = (startedAt: number, lastedMs: number, isComplete: boolean): SampledRun => ({
     startedAt,
     lastedMs,
-    isComplete,
+    outcome: isComplete ? "complete" : "open",
 });
 
 const crashingSince = (crashed: readonly CrashedRun[], ...sound: readonly SampledRun[]): number => {
--- a/src/common/gateway/RunComparison.ts
+++ b/src/common/gateway/RunComparison.ts
@@ -3,13 +3,14 @@
  * ends nearly each run that begins from some time on; what was merely there leaves runs that last as long and go on. The starts are
  * compared, not the ends: a run that began before says nothing about a part that became fatal meanwhile.
  */
+import { type RunOutcome } from "./RunSamples.ts";
 
-/** A key is suspected while it has more than this many crashes for each process on which runs have lasted as long. */
-const CRASHES_PER_SOUND_PROCESS = 3;
+/** A key is suspected while more than this many times as many runs have crashed as have lasted as long and did not. */
+const CRASHED_PER_SOUND_RUN = 2;
 /** Most crashes from whose runs on the comparison is tried. */
 const MAX_CRASHES = 30;
 /** The runs that last as long as this quantile of the crashed ones are compared. */
-const COMPARED_QUANTILE = 0.75;
+const COMPARED_QUANTILE = 0.5;
 
 /** A run that lasted for some time after its response had begun. */
 export interface SampledRun {
@@ -17,8 +18,7 @@
     readonly startedAt: number;
     /** In ms; 0 if no response began. */
     readonly lastedMs: number;
-    /** Whether it ran the whole request, and the response is complete. */
-    readonly isComplete: boolean;
+    readonly outcome: RunOutcome;
 }
 
 /** A run during which its upstream crashed. */
@@ -29,7 +29,7 @@
     readonly process: string;
 }
 
-/** Reports of entry instances on runs that did not crash their upstreams. */
+/** Samples of the runs of requests with each suspect, as entry instances report them. */
 export class RunComparison {
     private readonly reports = new Map<string, Map<string, readonly SampledRun[]>>();
 
@@ -51,26 +51,27 @@
         if (this.hasAnswer(key, lastStart, longestMs)) {
             return Infinity;
         }
-        const sound = this.soundRuns(key);
+        const sampled = this.runsOf(key);
         return startsByCrash(crashed).find(start => {
             const counted = crashed.filter(({ startedAt }) => startedAt >= start);
             const longest = longestByCrash(counted);
             const comparedMs = longest[Math.ceil(longest.length * COMPARED_QUANTILE) - 1] ?? 0;
-            const lasting = sound.filter(({ startedAt, lastedMs }) => startedAt >= start && lastedMs >= comparedMs);
-            // A process that hasn't crashed runs as many requests with the key as one that has.
-            const runsPerProcess = counted.length / new Set(counted.map(({ process }) => process)).size;
-            return longest.length * runsPerProcess > CRASHES_PER_SOUND_PROCESS * lasting.length;
+            const lasting = sampled.filter(({ startedAt, lastedMs }) => startedAt >= start && lastedMs >= comparedMs);
+            const failed = lasting.filter(({ outcome }) => outcome === "failed").length;
+            // Of a key that many requests have, only a sample is known of either kind of run.
+            const crashes = Math.max(failed, longest.filter(ms => ms >= comparedMs).length);
+            return crashes > CRASHED_PER_SOUND_RUN * (lasting.length - failed);
         }) ?? Infinity;
     }
 
     /** Whether a run with the key that was sent no earlier than `since` has been answered, and lasted at least `ms`. */
     public hasAnswer(key: string, since: number, ms: number): boolean {
-        return this.soundRuns(key).some(({ startedAt, lastedMs, isComplete }) =>
-            isComplete && startedAt >= since && lastedMs >= ms
+        return this.runsOf(key).some(({ startedAt, lastedMs, outcome }) =>
+            outcome === "complete" && startedAt >= since && lastedMs >= ms
         );
     }
 
-    private soundRuns(key: string): readonly SampledRun[] {
+    private runsOf(key: string): readonly SampledRun[] {
         return [...this.reports.get(key)?.values() ?? []].flat();
     }
 }
--- a/src/common/gateway/RunSamples.test.ts
+++ b/src/common/gateway/RunSamples.test.ts
@@ -10,17 +10,17 @@
     let answers = 0;
     const observed = new ObservedRun(clock, false, () => answers++);
     clock.advance(300);
-    assert.deepEqual([observed.lastedMs, observed.isSound], [0, false]);
+    assert.deepEqual([observed.lastedMs, observed.isComparable], [0, false]);
     observed.recordProgress();
     clock.advance(900);
     observed.recordProgress();
-    assert.deepEqual([observed.lastedMs, observed.isSound, answers], [900, true, 0]);
+    assert.deepEqual([observed.lastedMs, observed.outcome, answers], [900, "open", 0]);
     clock.advance(200);
     observed.recordProgress();
     observed.complete();
-    assert.deepEqual([observed.lastedMs, observed.isComplete, answers], [1100, true, 1]);
+    assert.deepEqual([observed.lastedMs, observed.outcome, answers], [1100, "complete", 1]);
     observed.fail();
-    assert.equal(observed.isSound, false);
+    assert.equal(observed.outcome, "failed");
 });
 
 test("RunSamples: the runs of a popular key are thinned, so that their ages are spread", () => {
@@ -32,24 +32,21 @@
         samples.add(observed, ["k"]);
         clock.advance(10);
     }
-    const ages = samples.soundRuns("k").map(({ startedAt }) => clock.monotonic() - startedAt);
+    const ages = samples.runsOf("k").map(({ startedAt }) => clock.monotonic() - startedAt);
     assert.ok(ages.length <= 16);
     for (const [from, to] of [[0, 500], [500, 1500], [1500, 4000], [4000, 20_001]] as const) {
         assert.ok(ages.some(age => age >= from && age < to), `${from} to ${to} ms: ${ages.join()}`);
     }
 });
 
-test("RunSamples: failed runs are left out, and keys without a recent run are forgotten", () => {
+test("RunSamples: runs whose response has not begun are left out, and keys without a recent run are forgotten", () => {
     const clock = new ManualClock(0);
     const samples = new RunSamples(clock);
     const [first, second] = [new ObservedRun(clock, false, ignore), new ObservedRun(clock, false, ignore)];
-    [first, second].forEach(observed => {
-        observed.recordProgress();
-        samples.add(observed, ["k"]);
-    });
-    first.fail();
-    assert.deepEqual(samples.soundRuns("k"), [second]);
+    [first, second].forEach(observed => samples.add(observed, ["k"]));
+    second.fail();
+    assert.deepEqual(samples.runsOf("k"), [second]);
     clock.advance(31_000);
     samples.add(new ObservedRun(clock, false, ignore), ["other"]);
-    assert.deepEqual(samples.soundRuns("k"), []);
+    assert.deepEqual(samples.runsOf("k"), []);
 });
--- a/src/common/gateway/RunSamples.ts
+++ b/src/common/gateway/RunSamples.ts
@@ -16,6 +16,10 @@
 /** A response that has gone on for this long counts as an answer of its upstream, in ms. */
 const LONG_ANSWER_MS = 1000;
 
+/** `complete` if the run has sent the whole response; `open` if it goes on, was aborted, or has sent the end of a response. */
+export const runOutcomes = ["open", "complete", "failed"] as const;
+export type RunOutcome = typeof runOutcomes[number];
+
 /** The run of one request at one upstream. */
 export class ObservedRun {
     /** Monotonic time at which the request was sent, in ms. */
@@ -51,14 +55,16 @@
         return this.isAnswered ? this.progressAt : undefined;
     }
 
-    /** Whether it ran the whole request, and the response is complete. */
-    public get isComplete(): boolean {
-        return this.hasEnded && !this.isResumed;
+    public get outcome(): RunOutcome {
+        if (this.hasFailed) {
+            return "failed";
+        }
+        return this.hasEnded && !this.isResumed ? "complete" : "open";
     }
 
-    /** Whether it shows how long such requests last: its response has begun, and it hasn't failed. */
-    public get isSound(): boolean {
-        return this.respondedAt !== undefined && !this.hasFailed;
+    /** Whether it shows how long such requests last: its response has begun, or it has failed. */
+    public get isComparable(): boolean {
+        return this.respondedAt !== undefined || this.hasFailed;
     }
 
     /** To be called for each part of the response. */
@@ -77,7 +83,7 @@
         this.reportAnswer();
     }
 
-    /** To be called when the run has failed, whatever the reason. */
+    /** To be called when the run has failed otherwise than by being aborted. */
     public fail(): void {
         this.hasFailed = true;
     }
@@ -114,12 +120,12 @@
         this.evict();
     }
 
-    /** The sound runs of requests with the key, in the order of their starts. */
-    public soundRuns(key: string): ObservedRun[] {
-        return this.byKey.get(key)?.filter(run => run.isSound) ?? [];
+    /** The runs of requests with the key that can be compared, in the order of their starts. */
+    public runsOf(key: string): ObservedRun[] {
+        return this.byKey.get(key)?.filter(run => run.isComparable) ?? [];
     }
 
-    /** Index of a failed run, or of the one that adds least, so that the ages of those that remain are spread. */
+    /** Index of the run that adds least, so that the ages of those that remain are spread. */
     private findSuperfluous(runs: readonly ObservedRun[]): number {
         const now = this.clock.monotonic();
         const startOf = (index: number): number => runs[index]?.startedAt ?? now;
