Broken runs are reported although another process is at the address, and nothing quarantined waits for a connection

And a request that waited for a connection was sent although it had been quarantined meanwhile; it is checked again as the connection comes, like the notices of upstreams. Backup attempts, repeats and larger models already were.

--- a/addons/fakes/RouterSetup.ts
+++ b/addons/fakes/RouterSetup.ts
@@ -133,6 +133,7 @@
         entryCount: () => 1,
         hasQuorumContact: () => false,
         isSpared: () => false,
+        sendObstacle: () => undefined,
         models: {
             next: (...[, { modelIndex }]: Parameters<ModelChoice["next"]>) =>
                 confidence !== undefined && modelIndex === 0 ? 1 : undefined,
--- a/src/node/gateway/Attempt.test.ts
+++ b/src/node/gateway/Attempt.test.ts
@@ -58,7 +58,7 @@
         directory: { get: () => undefined },
         models: { next: () => undefined, recordGeneration: () => undefined },
         hasQuorumContact: () => false,
-        isSpared: () => false,
+        sendObstacle: () => undefined,
         onStatement: () => undefined,
         onResponse: () => undefined,
         startRun: () => new ObservedRun(clock, false, () => undefined),
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -120,8 +120,9 @@
     /** To be called periodically: aborts the attempt if its upstream can't answer it, and finds whether it has stalled. */
     public check(): void {
         const { deps, selection: { record, stats, name }, state } = this;
-        if (!this.exchange.isSent && deps.isSpared(name)) {
-            this.exchange.abort(`upstream ${name} wants no requests`);
+        const obstacle = this.exchange.isSent ? undefined : deps.sendObstacle(this.call, name);
+        if (obstacle !== undefined) {
+            this.exchange.abort(obstacle);
             return;
         }
         const known = deps.directory.get(record.id);
--- a/src/node/gateway/BrokenRuns.ts
+++ b/src/node/gateway/BrokenRuns.ts
@@ -20,7 +20,10 @@
     readonly observer: CrashObserver;
 }
 
-/** Reports that a connection broke under a request, unless the upstream is leaving or still listens. */
+/**
+ * Reports that a connection broke under a request, unless the upstream has announced its end. What listens at the address
+ * afterwards may be the process that has taken its place, so control instances decide whether it has crashed.
+ */
 export const reportBrokenRun = async (
     { clock, log, directory, connections, observer }: BrokenRunDependencies,
     { req, keys }: Call,
@@ -29,23 +32,24 @@
 ): Promise<void> => {
     const { id, start } = record;
     const brokenAt = clock.monotonic();
-    if (directory.get(id)?.record.state !== "ready") {
+    const known = directory.get(id)?.record;
+    const hasAnnounced = known?.state === "draining" || (known?.state === "gone" && known.endedUnannounced !== true);
+    if (known?.start === start && hasAnnounced) {
         return;
     }
     const probe = await connections.probe(addressOf(record));
     const request = keys.request();
     log.info("A connection broke under a request.", { req: req.id, upstream: name, request, probe });
-    if (probe !== "accepted") {
-        const now = clock.monotonic();
-        observer.recordBrokenRun({
-            upstream: id,
-            start,
-            request,
-            parts: [...keys.parts],
-            ageMs: now - brokenAt,
-            startedAgeMs: now - startedAt,
-            lastedMs,
-            isRefused: probe === "refused",
-        });
-    }
+    const now = clock.monotonic();
+    observer.recordBrokenRun({
+        upstream: id,
+        start,
+        request,
+        parts: [...keys.parts],
+        ageMs: now - brokenAt,
+        startedAgeMs: now - startedAt,
+        lastedMs,
+        isRefused: probe === "refused",
+        isAccepted: probe === "accepted",
+    });
 };
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -26,6 +26,7 @@
 import { HttpServer, listenerOf } from "../http/HttpServer.ts";
 import { type Log } from "../log/Log.ts";
 import { reportBrokenRun } from "./BrokenRuns.ts";
+import { QUARANTINED } from "./Call.ts";
 import { CallerHandler } from "./CallerHandler.ts";
 import { EngineMemory } from "./EngineMemory.ts";
 import { createConnections, createRelayServer } from "./EntryConnections.ts";
@@ -323,7 +324,12 @@
                     void reportBrokenRun({ clock, log, directory, connections, observer }, call, selection, run),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
-                isSpared: this.notices.isSpared,
+                sendObstacle: ({ keys }, upstream) =>
+                    this.notices.isSpared(upstream)
+                        ? `upstream ${upstream} wants no requests`
+                        : this.follower.isQuarantined(keys)
+                        ? QUARANTINED
+                        : undefined,
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onLateStatement: ({ name }, head) => this.notices.recordNotice(name, head),
                 onUnanswered: (call, { record }, waitedMs) =>
--- a/src/node/gateway/UpstreamAttempts.ts
+++ b/src/node/gateway/UpstreamAttempts.ts
@@ -36,8 +36,8 @@
     readonly onConnectionClosed: (call: Call, selection: Selection, run: ObservedRun) => void;
     /** Called when a usable response begins to be relayed; `latencyMs` counts from the sending of the attempt. */
     readonly onResponse: (call: Call, selection: Selection, latencyMs: number) => void;
-    /** Whether an upstream process must not get requests now, because of what it has stated in a response. */
-    readonly isSpared: (upstream: string) => boolean;
+    /** Why the request must not be sent to the upstream process now; undefined if it may be. */
+    readonly sendObstacle: (call: Call, upstream: string) => string | undefined;
     /** Called for each response of the selected process to its request, with what it states about itself. */
     readonly onStatement: (selection: Selection, head: ResponseHead) => void;
     /** Called for a response of that process to an earlier request, which came on the connection in use again. */
@@ -72,7 +72,7 @@
 
     /** Sends a request to the selected upstream. */
     public start(call: Call, state: CallState, target: AttemptTarget, headers: string[]): Attempt {
-        const { connections, entryCount, isSpared } = this.deps;
+        const { connections, entryCount, sendObstacle } = this.deps;
         const { record, name } = target.selection;
         const exchange = connections.send(
             name,
@@ -83,7 +83,7 @@
                 path: call.req.path,
                 headers,
                 body: call.body,
-                obstacle: () => isSpared(name) ? `upstream ${name} wants no requests` : undefined,
+                obstacle: () => sendObstacle(call, name),
             },
         );
         const attempt = new Attempt(this.deps, call, state, target, exchange, () => this.active.delete(attempt));
