--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -43,8 +43,8 @@
 export type Hearing = "pending" | "heard" | "shared";
 
 /**
- * What is to blame, as the keys of one quarantine each; none if the evidence doesn't suffice, or while more may have to be heard of
- * what was in most crashes. What was in most crashes comes first, as it explains the crashes of what was merely beside it: a part of prompts if it
+ * What is to blame, as the keys of one quarantine each; none if the evidence doesn't suffice, or while what was in most crashes is
+ * still pending. What was in most crashes comes first, as it explains those of what was merely beside it: a part of prompts if it
  * was in more of them than any request, otherwise a request. What `isKnown` names explains crashes, but is not blamed again.
  */
 export const blame = (
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -218,12 +218,12 @@
     private collectSuspicions(moments: readonly Moment[]): Map<string, Suspicion> {
         const found = new Map<string, Suspicion>();
         for (const [crash, { processes }] of moments.entries()) {
-            for (const { name, runs } of processes) {
+            for (const { runs } of processes) {
                 for (const [request, { startedAt, lastedMs, parts }] of runs) {
                     for (const key of [request, ...parts]) {
                         const suspicion = found.get(key) ?? createSuspicion(key);
                         suspicion.requests.add(request);
-                        suspicion.crashed.push({ crash, process: name, startedAt, lastedMs });
+                        suspicion.crashed.push({ crash, startedAt, lastedMs });
                         suspicion.crashes.add(crash);
                         found.set(key, suspicion);
                     }
--- a/src/common/gateway/CrashObserver.ts
+++ b/src/common/gateway/CrashObserver.ts
@@ -1,5 +1,6 @@
 /**
- * What one entry instance sees of crashing upstreams: the requests whose connections broke, and how long others lasted. Control instances put the observations of all instances together (`CrashHistory`).
+ * What one entry instance sees of crashing upstreams: the requests whose connections broke, and a sample of how long others
+ * lasted. Control instances put the observations of all instances together (`CrashHistory`).
  */
 import * as z from "zod";
 import { type Clock } from "../time/Clock.ts";
--- a/src/common/gateway/CrashRecords.ts
+++ b/src/common/gateway/CrashRecords.ts
@@ -70,8 +70,7 @@
 
 /** A process that has ended, and the runs that broke when it did, by the key of the request. */
 export interface EndedProcess {
-    /** Id and start. */
-    readonly name: string;
+    /** Id of the upstream. */
     readonly upstream: string;
     readonly runs: readonly (readonly [string, Run])[];
     /** Monotonic time of the last broken run, in ms. */
@@ -130,9 +129,9 @@
 
     /** The crashes, in the order of their times. */
     public collectMoments(): Moment[] {
-        const ended = [...this.processes].map(([name, process]) => {
+        const ended = [...this.processes.values()].map(process => {
             const runs = [...process.runs].filter(([, { at }]) => this.findEnd(process, at) === "crashed");
-            return { name, upstream: process.upstream, runs, at: Math.max(...runs.map(([, { at }]) => at)) };
+            return { upstream: process.upstream, runs, at: Math.max(...runs.map(([, { at }]) => at)) };
         }).filter(({ runs }) => runs.length > 0).sort((a, b) => a.at - b.at);
         const moments: { readonly processes: EndedProcess[]; readonly at: number; }[] = [];
         for (const process of ended) {
--- a/src/common/gateway/RunComparison.test.ts
+++ b/src/common/gateway/RunComparison.test.ts
@@ -6,7 +6,7 @@
 
 /** Runs that crashed one process each, some time after each other: their starts, and how long they lasted. */
 const crashedRuns = (...runs: readonly (readonly [startedAt: number, lastedMs: number])[]): CrashedRun[] =>
-    runs.map(([startedAt, lastedMs], crash) => ({ crash, process: `u${crash} 1`, startedAt, lastedMs }));
+    runs.map(([startedAt, lastedMs], crash) => ({ crash, startedAt, lastedMs }));
 
 const run = (startedAt: number, lastedMs: number, isComplete: boolean): SampledRun => ({
     startedAt,
@@ -49,7 +49,7 @@
     const crashed = crashedRuns([1000, 1500], [1200, 1900], [1400, 1300]);
     assert.equal(
         crashingSince(
-            [...crashed, { crash: 3, process: "u3 1", startedAt: 1450, lastedMs: 1500 }],
+            [...crashed, { crash: 3, startedAt: 1450, lastedMs: 1500 }],
             run(1500, 2000, false),
         ),
         1000,
--- a/src/common/gateway/RunComparison.ts
+++ b/src/common/gateway/RunComparison.ts
@@ -23,10 +23,8 @@
 
 /** A run during which its upstream crashed. */
 export interface CrashedRun extends Pick<SampledRun, "startedAt" | "lastedMs"> {
-    /** Identifies the crash. Crashes of several processes at once, which may have a common cause, have the same number. */
+    /** Number of the moment of the crash, at which other processes may have ended too. */
     readonly crash: number;
-    /** Identifies the process. */
-    readonly process: string;
 }
 
 /** Samples of the runs of requests with each suspect, as entry instances report them. */
