One answer to whether a process has announced its end; the crash evidence carries only what is read

- Whether a gone record was announced was decided in two places (BrokenRuns, CrashRecords): hasLeft in UpstreamRecord.
- The ids of upstreams in the evidence of CrashBlame were read by nobody.
- The oldest report of the entry instances was computed five times a second on every control instance, also without any crash; it is now when crashes are evaluated.
The list of known quarantines was built once a crash instead of once an evaluation.
- A nested condition in GatewayEntryRole is a method with early returns.
- Four tests wrote out the same record of an upstream: createUpstreamRecord in addons/fakes.
Their assertions are unchanged.

--- a/src/common/gateway/CrashBlame.ts
+++ b/src/common/gateway/CrashBlame.ts
@@ -17,8 +17,6 @@
 
 /** A process that has ended. */
 export interface CrashedProcess {
-    /** Id of the upstream. */
-    readonly upstream: string;
     /** Keys of the requests that ran, and of the parts of their prompts that may be the cause. */
     readonly runs: ReadonlyMap<string, ReadonlySet<string>>;
 }
--- a/src/common/gateway/CrashHistory.test.ts
+++ b/src/common/gateway/CrashHistory.test.ts
@@ -1,15 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createUpstreamRecord } from "../../../addons/fakes/UpstreamRecords.ts";
 import { ManualClock } from "../time/ManualClock.ts";
 import { CrashHistory } from "./CrashHistory.ts";
 import { type Answer, CrashObserver } from "./CrashObserver.ts";
 import { runOutcomes } from "./RunSamples.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
-import { type UpstreamRecord } from "./UpstreamRecord.ts";
 
 /** Time after which entry instances have been heard, and two evaluations have taken place, in ms. */
 const HEARD_MS = 1700;
 const START = 1;
+const allReported = (): number => Infinity;
 const COMPLETE = runOutcomes.indexOf("complete");
 /** Time between two crashes of which one can't have caused the other, nor both have had a common cause, in ms. */
 const CRASH_GAP_MS = 150;
@@ -49,25 +50,12 @@
     }
 
     public heartbeat(id: string, seq: number, start = START, port = ++this.port): void {
-        const record: UpstreamRecord = {
-            id,
-            start,
-            seq,
-            service: "s",
-            host: "10.0.0.1",
-            port,
-            domain: "d",
-            version: "v1",
-            slots: 4,
-            state: "ready",
-            coldMs: 0,
-        };
-        this.directory.merge(record, 0);
+        this.directory.merge(createUpstreamRecord({ id, start, seq, port }), 0);
     }
 
     /** Lets the time pass; returns the keys that are blamed meanwhile. */
     public evaluate(ms = HEARD_MS, reportedUntil = Infinity): string[] {
-        const before = this.history.evaluate(true, reportedUntil).verdicts;
+        const before = this.history.evaluate(true, () => reportedUntil).verdicts;
         this.clock.advance(ms);
         this.history.recordAnswers(
             "e",
@@ -79,7 +67,7 @@
                 allRequests: 10,
             })),
         );
-        const { verdicts } = this.history.evaluate(true, reportedUntil);
+        const { verdicts } = this.history.evaluate(true, () => reportedUntil);
         return [...before, ...verdicts].map(({ keys }) => keys.join(" "));
     }
 
@@ -113,7 +101,7 @@
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound", "bad"));
     assert.deepEqual(control.evaluate(), ["sound", "bad"]);
     control.answer("sound");
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     assert.deepEqual([control.covers("sound"), control.covers("bad")], [false, true]);
 });
 
@@ -128,11 +116,11 @@
     const observer = new CrashObserver(control.clock);
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "sound"));
     observer.startRun({ request: () => "sound", parts: new Set() }, false).complete();
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     assert.deepEqual(control.history.suspects, ["sound"]);
     control.clock.advance(HEARD_MS);
     control.history.recordAnswers("e", observer.answersTo(control.history.suspects));
-    assert.deepEqual(control.history.evaluate(true).verdicts, []);
+    assert.deepEqual(control.history.evaluate(true, allReported).verdicts, []);
 });
 
 test("CrashHistory: a broken connection is no crash while its process sends heartbeats", () => {
@@ -206,9 +194,9 @@
 test("CrashHistory: an instance that may lack reports blames no request", () => {
     const control = new History();
     ["u1", "u2", "u3"].forEach(upstream => control.crash(upstream, "bad"));
-    control.history.evaluate(false);
+    control.history.evaluate(false, allReported);
     control.clock.advance(HEARD_MS);
-    assert.deepEqual(control.history.evaluate(false).verdicts, []);
+    assert.deepEqual(control.history.evaluate(false, allReported).verdicts, []);
 });
 
 // BUDGET: the runs of the cause were lost with entry instances that started again, and what was beside it was refused.
@@ -246,7 +234,7 @@
         control.directory.markGone(upstream, START);
         control.crash(upstream, `r${index}: sound`);
     });
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     control.clock.advance(31_000);
     control.directory.evictStale();
     control.crash("u4", "s: sound");
@@ -259,7 +247,7 @@
     control.clock.advance(2000);
     assert.equal(control.covers("bad"), false);
     control.crash("u1", "bad");
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     assert.equal(control.covers("bad"), true);
 });
 
@@ -348,7 +336,7 @@
     control.crash("u2", "r2: system bad", "y: system other");
     control.crash("u3", "r3: system subject bad", "z: system other");
     control.crash("u4", "r4: system bad");
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     control.answer("part:system");
     assert.deepEqual(control.evaluate(), ["part:bad"]);
 });
@@ -367,7 +355,7 @@
 test("CrashHistory: a part that many requests have is blamed only while requests without it are answered", () => {
     const control = new History();
     ["u1", "u2", "u3"].forEach((upstream, index) => control.crash(upstream, `r${index}: system rare`));
-    control.history.evaluate(true);
+    control.history.evaluate(true, allReported);
     control.clock.advance(HEARD_MS);
     const counts = { requests: 6, allRequests: 10 };
     control.history.recordAnswers("e1", [{ key: "part:system", ...counts }, {
@@ -375,12 +363,12 @@
         ...counts,
         requests: 2,
     }]);
-    assert.deepEqual(control.history.evaluate(true).verdicts.map(({ keys }) => keys), [["part:rare"]]);
+    assert.deepEqual(control.history.evaluate(true, allReported).verdicts.map(({ keys }) => keys), [["part:rare"]]);
     const alone = new History();
     ["u1", "u2", "u3"].forEach((upstream, index) => alone.crash(upstream, `r${index}: system`));
-    alone.history.evaluate(true);
+    alone.history.evaluate(true, allReported);
     alone.clock.advance(HEARD_MS);
-    assert.deepEqual(alone.history.evaluate(true).verdicts, []);
+    assert.deepEqual(alone.history.evaluate(true, allReported).verdicts, []);
     assert.deepEqual(alone.evaluate(), ["part:system"]);
 });
 
@@ -392,7 +380,7 @@
     other.history.mergeQuarantines(control.history.quarantines.all);
     assert.equal(other.covers("r4", "system"), true);
     control.answer("part:system");
-    assert.deepEqual(control.history.evaluate(true).lifted.map(({ keys }) => keys), [["part:system"]]);
+    assert.deepEqual(control.history.evaluate(true, allReported).lifted.map(({ keys }) => keys), [["part:system"]]);
     assert.equal(control.covers("r4", "system"), false);
     other.history.mergeQuarantines(control.history.quarantines.all);
     assert.equal(other.covers("r4", "system"), false);
--- a/src/common/gateway/CrashHistory.ts
+++ b/src/common/gateway/CrashHistory.ts
@@ -129,10 +129,10 @@
 
     /**
      * Updates the suspects, lifts the quarantines of what is answered after all, and quarantines what is to blame unless
-     * `mayBlame` is false. To be called periodically. `reportedUntil`: monotonic time at which the entry instance that has been
+     * `mayBlame` is false. To be called periodically. `oldestReport`: monotonic time at which the entry instance that has been
      * silent for longest last reported, in ms.
      */
-    public evaluate(mayBlame: boolean, reportedUntil = Infinity): CrashEvaluation {
+    public evaluate(mayBlame: boolean, oldestReport: () => number): CrashEvaluation {
         const verdicts: Verdict[] = [];
         this.records.update();
         if (this.clock.monotonic() - this.lastRunAt > ACTIVE_MS) {
@@ -145,6 +145,7 @@
         const lifted = this.quarantines.liftSound((key, crashedAt) => this.isRefuted(key, crashedAt));
         this.updateSuspects();
         const evidence = this.collectEvidence(moments);
+        const reportedUntil = oldestReport();
         while (mayBlame && verdicts.length < MAX_VERDICTS) {
             const culprits = this.blame(evidence, reportedUntil);
             if (culprits.length === 0) {
@@ -250,6 +251,7 @@
     /** The crashes, with what may be the cause. Renews the quarantines that explain some. */
     private collectEvidence(moments: readonly Moment[]): MomentEvidence[] {
         const now = this.clock.monotonic();
+        const { known } = this.quarantines;
         const evidence: MomentEvidence[] = [];
         for (const moment of moments) {
             const { processes, at } = moment;
@@ -257,8 +259,7 @@
                 new Set(run.parts.filter(part => this.countsAgainst(part, run) === true));
             const item = {
                 moment,
-                processes: processes.map(({ upstream, runs }) => ({
-                    upstream,
+                processes: processes.map(({ runs }) => ({
                     runs: new Map(runs.map(([request, run]) => [request, possibleParts(run)])),
                 })),
                 requests: new Set(
@@ -268,7 +269,7 @@
                 ),
             };
             evidence.push(item);
-            this.quarantines.known
+            known
                 .filter(keys => isCausedBy(moment, keys, (key, run) => this.countsAgainst(key, run) === true))
                 .forEach(keys => this.quarantines.merge({ keys: [...keys], ageMs: now - at }));
         }
--- a/src/common/gateway/CrashRecords.ts
+++ b/src/common/gateway/CrashRecords.ts
@@ -6,6 +6,7 @@
 import { isPartKey } from "./CallKeys.ts";
 import { type BrokenRun } from "./CrashObserver.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { hasLeft } from "./UpstreamRecord.ts";
 
 /** Crashes that come within this time of each other count as one moment, in ms. */
 const MOMENT_MS = 100;
@@ -116,10 +117,9 @@
         for (const process of this.processes.values()) {
             const known = this.directory.get(process.upstream);
             if (known?.record.start === process.start) {
-                const isGone = known.record.state === "gone";
                 process.heardAt = known.receivedAt;
-                process.hasLeft = isGone && known.record.endedUnannounced !== true;
-                process.isReplaced = isGone && !process.hasLeft;
+                process.hasLeft = hasLeft(known.record);
+                process.isReplaced = known.record.state === "gone" && !process.hasLeft;
             }
             else if (known !== undefined && known.record.start > process.start) {
                 process.isReplaced = true;
@@ -164,11 +164,12 @@
     }
 
     /** What is known of a process after a connection broke at this monotonic time, in ms. */
-    private findEnd({ refusedAt, acceptedAt, heardAt, hasLeft, isReplaced }: ProcessRecord, at: number): ProcessEnd {
+    private findEnd(process: ProcessRecord, at: number): ProcessEnd {
+        const { refusedAt, acceptedAt, heardAt, isReplaced } = process;
         if (heardAt - HEARTBEAT_DELAY_MS >= at) {
             return "alive";
         }
-        if (hasLeft) {
+        if (process.hasLeft) {
             return "left";
         }
         const isSilent = this.clock.monotonic() - at > SILENCE_MS && acceptedAt < at;
--- a/src/common/gateway/FleetFollower.test.ts
+++ b/src/common/gateway/FleetFollower.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryHub } from "../../../addons/fakes/MemoryNetwork.ts";
+import { createUpstreamRecord } from "../../../addons/fakes/UpstreamRecords.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { ManualClock } from "../time/ManualClock.ts";
 import { type CallKeys } from "./CallKeys.ts";
@@ -16,19 +17,8 @@
 /** Greatest age of a renewed confirmation: two long polls in a row are held for at most 1000 ms each. */
 const MAX_RENEWED_AGE_MS = 2100;
 
-const record = (id: string, seq: number, state: UpstreamRecord["state"] = "ready"): UpstreamRecord => ({
-    id,
-    start: 1,
-    seq,
-    service: "s",
-    host: "10.0.0.1",
-    port: Number(id.slice(1)),
-    domain: "d",
-    version: "v1",
-    slots: 4,
-    state,
-    coldMs: 0,
-});
+const record = (id: string, seq: number, state: UpstreamRecord["state"] = "ready"): UpstreamRecord =>
+    createUpstreamRecord({ id, start: 1, seq, port: Number(id.slice(1)), state });
 
 const callOf = (request: string): CallKeys => ({ request: () => request, parts: new Set() });
 
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -159,8 +159,9 @@
 
     private evaluateCrashes(): void {
         const mayBlame = this.deps.confirmationAgeMs() < MAX_VERDICT_AGE_MS;
-        const lastCalls = [...this.followersInService.values()].map(({ lastCallAt }) => lastCallAt);
-        const { verdicts, lifted, findings } = this.crashes.evaluate(mayBlame, Math.min(...lastCalls));
+        const oldestCall = (): number =>
+            Math.min(...[...this.followersInService.values()].map(({ lastCallAt }) => lastCallAt));
+        const { verdicts, lifted, findings } = this.crashes.evaluate(mayBlame, oldestCall);
         findings.forEach(finding => this.deps.onCrashFinding?.(finding));
         verdicts.forEach(verdict => this.deps.onQuarantined?.(verdict));
         lifted.forEach(({ keys }) => this.deps.onQuarantineLifted?.(keys));
--- a/src/common/gateway/UpstreamDirectory.test.ts
+++ b/src/common/gateway/UpstreamDirectory.test.ts
@@ -1,23 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createUpstreamRecord as record } from "../../../addons/fakes/UpstreamRecords.ts";
 import { ManualClock } from "../time/ManualClock.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
-import { type UpstreamRecord } from "./UpstreamRecord.ts";
-
-const record = (change: Partial<UpstreamRecord>): UpstreamRecord => ({
-    id: "u1",
-    start: 100,
-    seq: 1,
-    service: "s",
-    host: "10.0.0.1",
-    port: 80,
-    domain: "d",
-    version: "v1",
-    slots: 4,
-    state: "ready",
-    coldMs: 0,
-    ...change,
-});
 
 const create = (): { clock: ManualClock; directory: UpstreamDirectory; } => {
     const clock = new ManualClock(1000);
--- a/src/common/gateway/UpstreamRecord.ts
+++ b/src/common/gateway/UpstreamRecord.ts
@@ -45,6 +45,10 @@
     return rank === 0 ? record.seq > current.seq : rank > 0;
 };
 
+/** Whether the process is gone and has announced it. */
+export const hasLeft = ({ state, endedUnannounced }: UpstreamRecord): boolean =>
+    state === "gone" && endedUnannounced !== true;
+
 /** A record and when it was received from the upstream. */
 export interface ReceivedRecord {
     readonly record: UpstreamRecord;
--- a/src/node/gateway/BrokenRuns.test.ts
+++ b/src/node/gateway/BrokenRuns.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createUpstreamRecord } from "../../../addons/fakes/UpstreamRecords.ts";
 import { CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { ObservedRun } from "../../common/gateway/RunSamples.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
-import { type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { ManualClock } from "../../common/time/ManualClock.ts";
 import { createLog } from "../log/Log.ts";
@@ -11,19 +11,7 @@
 import { type Call } from "./Call.ts";
 import { type ProbeResult } from "./UpstreamConnections.ts";
 
-const record: UpstreamRecord = {
-    id: "u1",
-    start: 100,
-    seq: 1,
-    service: "s",
-    host: "10.0.0.1",
-    port: 80,
-    domain: "d",
-    version: "v1",
-    slots: 4,
-    state: "ready",
-    coldMs: 0,
-};
+const record = createUpstreamRecord({});
 
 /** What is reported of a run that breaks 700 ms after it was sent, once `change` has been made to the directory. */
 const reportsAfter = async (change: (directory: UpstreamDirectory) => void, probe: ProbeResult = "refused") => {
--- a/src/node/gateway/BrokenRuns.ts
+++ b/src/node/gateway/BrokenRuns.ts
@@ -4,7 +4,7 @@
 import { type CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { type ObservedRun } from "../../common/gateway/RunSamples.ts";
 import { type UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
-import { addressOf } from "../../common/gateway/UpstreamRecord.ts";
+import { addressOf, hasLeft } from "../../common/gateway/UpstreamRecord.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { type Clock } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
@@ -33,8 +33,7 @@
     const { id, start } = record;
     const brokenAt = clock.monotonic();
     const known = directory.get(id)?.record;
-    const hasAnnounced = known?.state === "draining" || (known?.state === "gone" && known.endedUnannounced !== true);
-    if (known?.start === start && hasAnnounced) {
+    if (known?.start === start && (known.state === "draining" || hasLeft(known))) {
         return;
     }
     const probe = await connections.probe(addressOf(record));
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -324,12 +324,7 @@
                     void reportBrokenRun({ clock, log, directory, connections, observer }, call, selection, run),
                 onResponse: (call, { record }, latencyMs) =>
                     this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
-                sendObstacle: ({ keys }, upstream) =>
-                    this.notices.isSpared(upstream)
-                        ? `upstream ${upstream} wants no requests`
-                        : this.follower.isQuarantined(keys)
-                        ? QUARANTINED
-                        : undefined,
+                sendObstacle: ({ keys }, upstream) => this.findSendObstacle(keys, upstream),
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onLateStatement: ({ name }, head) => this.notices.recordNotice(name, head),
                 onUnanswered: (call, { record }, waitedMs) =>
@@ -340,6 +335,14 @@
         );
     }
 
+    /** Why a request with these keys must not be sent to an upstream process now; undefined if it may be. */
+    private findSendObstacle(keys: CallKeys, upstream: string): string | undefined {
+        if (this.notices.isSpared(upstream)) {
+            return `upstream ${upstream} wants no requests`;
+        }
+        return this.follower.isQuarantined(keys) ? QUARANTINED : undefined;
+    }
+
     private recordStatement({ name: upstream, record: { service } }: Selection, head: ResponseHead): void {
         const { bearableRefusals, isNotRun } = head;
         this.notices.record(upstream, head);
