--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -73,8 +73,9 @@
         const run = { id, method, path, tenant: headers.tenant, headers, body: Buffer.concat(chunks).toString(), at: Date.now() };
         this.runs.push(run);
         await new Promise(done => setTimeout(done, this.workMs));
-        const { status = 200, text = `answer of ${this.id} to ${id}` } = this.answer?.(run) ?? {};
-        res.writeHead(status, { "Request-Id": id, "Engine-Stamp": `stamp-${this.id}-${this.runs.length}` }).end(text);
+        const { status = 200, text = `answer of ${this.id} to ${id}`, headers: more = {} } = this.answer?.(run) ?? {};
+        const stamp = `stamp-${this.id}-${this.runs.length}`;
+        res.writeHead(status, { "Request-Id": id, "Engine-Stamp": stamp, ...more }).end(text);
     }
 
     hasRun(requestId) {
