--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,7 +12,7 @@
 
 const manifestOf = version => {
     const service = { name: "svc", health_path: "/health", max_conns: 100, protocol: "h1", tls: false };
-    const routes = Array.from({ length: ROUTES }, (_, index) => ({
+    const routes = Array.from({ length: ROUTES }, (...[, index]) => ({
         name: `r-${index}`,
         host: "host.example",
         path_prefix: `/p${index}/`,
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -179,11 +179,11 @@
         const ipOf = index => `${block}.${index + 1}`;
         this.controls = Array.from(
             { length: controlCount },
-            (_, index) => new Instance(this, `control-${index + 1}`, "control", ipOf(index)),
+            (...[, index]) => new Instance(this, `control-${index + 1}`, "control", ipOf(index)),
         );
         this.entries = Array.from(
             { length: entryCount },
-            (_, index) => new Instance(this, `entry-${index + 1}`, "entry", ipOf(controlCount + index)),
+            (...[, index]) => new Instance(this, `entry-${index + 1}`, "entry", ipOf(controlCount + index)),
         );
         this.seeds = this.controls.slice(0, 3).map(control => control.address("control"));
         process.once("exit", () => this.instances.forEach(instance => instance.signal("SIGKILL")));
