--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -104,8 +104,8 @@
             record(`${leader.name} is back; all run again`);
         }
         await sleep(bounds.recovery_s * 1000 + 500);
-        const evacuation = await order(controls, "POST", "/api/evacuate/elsewhere", undefined, 10_000);
-        record(`POST /api/evacuate/elsewhere -> ${evacuation.status} from ${evacuation.by}`);
+        const evacuation = await order(controls, "POST", `/api/evacuate/${deployment.zone}`, undefined, 10_000);
+        record(`POST /api/evacuate/${deployment.zone} -> ${evacuation.status} from ${evacuation.by}`);
         await sleep(bounds.config_ms);
         let newest = -1;
         for (const control of controls) {
