A voter's own failed candidacies no longer count as messages of the last leader

Cause: a voter refuses its vote while it has heard of a leader within 900 ms. That was read off the election timer, which the voter's own candidacy restarts as well. A voter with the shorter log, which can't win, so refused the fitter candidate for 900 ms after each of its own tries, 900 to 1800 ms apart. Change: the time of the leader's newest message is kept apart from the election timer. The lease is unaffected: it relies on what voters have heard of the leader.

--- a/src/common/control/ControlLog.test.ts
+++ b/src/common/control/ControlLog.test.ts
@@ -12,6 +12,8 @@
 import { type Command, type StateMachine } from "./LogStore.ts";
 
 const IDS = ["a", "b", "c"];
+/** Time after the last disturbance within which a leader must be elected, in ms. */
+const RECOVERY_MS = 12_000;
 
 const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
@@ -234,6 +236,28 @@
     );
 });
 
+// Guards against long times without a leader: a candidate with the shorter log refused the other one after each own try.
+test("the failed candidacies of one voter don't keep it from voting for the other", async () => {
+    for (let seed = 1; seed <= 60; seed++) {
+        const cluster = new Cluster(seed);
+        IDS.forEach(id => cluster.start(id));
+        const fitter = (await cluster.untilLeader()).network.self;
+        const [down = "", behind] = IDS.filter(id => id !== fitter);
+        cluster.kill(down);
+        cluster.isolate(behind);
+        cluster.propose(1);
+        await cluster.advance(300);
+        cluster.kill(fitter);
+        cluster.isolate(undefined);
+        cluster.start(fitter);
+        const startedAt = cluster.clock.monotonic();
+        while (cluster.leader === undefined && cluster.clock.monotonic() - startedAt <= RECOVERY_MS) {
+            await cluster.advance(100);
+        }
+        assert.equal(cluster.leader?.network.self, fitter, `seed ${seed}: no leader within ${RECOVERY_MS} ms`);
+    }
+});
+
 test("an isolated leader accepts no command after its lease has expired", async () => {
     const cluster = new Cluster(1);
     IDS.forEach(id => cluster.start(id));
--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -225,6 +225,7 @@
         if (term > voter.term) {
             await voter.saveVote(term, undefined);
         }
+        voter.leaderHeardAt = voter.now;
         this.elector?.resetElectionTimer();
         voter.setRole("follower", leader);
     }
--- a/src/common/control/Elector.ts
+++ b/src/common/control/Elector.ts
@@ -78,7 +78,7 @@
     private hasActiveLeader(): boolean {
         const { voter } = this;
         const isLeaderRecent = voter.leader !== undefined
-            && voter.now - voter.electionTimerStartedAt < MIN_ELECTION_TIMEOUT_MS;
+            && voter.now - voter.leaderHeardAt < MIN_ELECTION_TIMEOUT_MS;
         return voter.role === "leader" || isLeaderRecent;
     }
 
--- a/src/common/control/Voter.ts
+++ b/src/common/control/Voter.ts
@@ -41,6 +41,8 @@
     public durableIndex = 0;
     /** Monotonic time at which the election timer was last restarted, in ms. */
     public electionTimerStartedAt = 0;
+    /** Monotonic time of the newest message from the leader, in ms. */
+    public leaderHeardAt = -Infinity;
     /** Show which messages of the leader were sent lately. */
     public readonly receipts: Receipts;
     /**
