A configuration whose last client account is removed accepts no key any more

What callers saw: after a manifest with an empty list of tenants, requests with any key, or none, ran (ROUTE, CONFIG). Cause: a manifest without accounts and one in which none is left had the same value, an empty list, and routes needed a key only if it had items. Change: GatewayConfig.accounts is undefined where no accounts are used; an empty list leaves no key valid. What is stored and passed on is the operator's text, so nothing needs a conversion. Ruled out: an older table or index (keys that were never valid ran, too), and a moment without a table (it went on).

--- a/src/common/gateway/GatewayConfig.ts
+++ b/src/common/gateway/GatewayConfig.ts
@@ -90,7 +90,11 @@
     readonly version: number;
     readonly routes: readonly Route[];
     readonly services: readonly Service[];
-    readonly accounts: readonly Account[];
+    /**
+     * Undefined if the deployment uses no accounts and its routes need no key. An empty list means that no account is
+     * left, so that no key is valid.
+     */
+    readonly accounts: readonly Account[] | undefined;
     readonly limits: CallerLimits;
 }
 
@@ -130,7 +134,7 @@
     return faults;
 };
 
-const findAccountFaults = ({ accounts }: GatewayConfig): ConfigFault[] => {
+const findAccountFaults = ({ accounts = [] }: GatewayConfig): ConfigFault[] => {
     const faults: ConfigFault[] = [];
     const owners = new Map<string, string>();
     accounts.forEach((account, index) => {
--- a/src/common/gateway/RouteTable.test.ts
+++ b/src/common/gateway/RouteTable.test.ts
@@ -45,13 +45,21 @@
     assert.equal(table.findAccount("k3"), undefined);
 });
 
+// Guards against routes that are open to every key after the last client account is removed.
+test("RouteTable: a configuration that uses accounts requires a key, also when no account is left", () => {
+    const withAccounts = config([route("all", "/")]);
+    assert.equal(new RouteTable(withAccounts).requiresKeys, true);
+    assert.equal(new RouteTable({ ...withAccounts, accounts: [] }).requiresKeys, true);
+    assert.equal(new RouteTable({ ...withAccounts, accounts: undefined }).requiresKeys, false);
+});
+
 test("GatewayConfig: all faults are reported together", () => {
     const faulty = config([
         route("one", "/a/"),
         route("two", "/a/", { timeoutMs: 0 }),
         route("three", "/b/", { targets: [{ service: "none", weight: 0 }] }),
     ]);
-    const accounts = [...faulty.accounts, { name: "b", keys: ["k1"], priority: undefined }];
+    const accounts = [...faulty.accounts ?? [], { name: "b", keys: ["k1"], priority: undefined }];
     const messages = findConfigFaults({ ...faulty, accounts }).map(fault => `${fault.field}: ${fault.message}`);
     assert.equal(messages.length, 5);
     assert.match(messages.join("\n"), /routes\.1: another route/);
--- a/src/common/gateway/RouteTable.ts
+++ b/src/common/gateway/RouteTable.ts
@@ -20,15 +20,15 @@
         for (const routes of this.byHost.values()) {
             routes.sort((a, b) => b.prefix.length - a.prefix.length);
         }
-        for (const account of config.accounts) {
+        for (const account of config.accounts ?? []) {
             account.keys.forEach(key => this.byKey.set(key, account));
         }
         this.byService = new Map(config.services.map(service => [service.name, service]));
     }
 
     /** Whether requests need the key of a client account, unless their route is public. */
-    public get hasAccounts(): boolean {
-        return this.config.accounts.length > 0;
+    public get requiresKeys(): boolean {
+        return this.config.accounts !== undefined;
     }
 
     /** Finds the route of the host with the longest prefix that matches `path`. The host is not case-sensitive. */
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -234,7 +234,7 @@
             return { status: 404, reason: `no route for ${request.host}${path}` };
         }
         const account = request.key === undefined ? undefined : table.findAccount(request.key);
-        if (table.hasAccounts && !route.isPublic && account === undefined) {
+        if (table.requiresKeys && !route.isPublic && account === undefined) {
             return { status: 401, reason: "the key belongs to no client account" };
         }
         const target = weightedChoice(
