Settings without a value: the default for the platform's templates, a fault in own files, and not 0

Found while looking for the cause of the empty list of accounts elsewhere: a template leaves a key empty where the platform has no value for it, and Number("") is 0, so that revoke_ms, retry_slack or session_s would have been 0. In own settings files, stop_grace_ms without a value meant 0 ms without a word.

--- a/src/node/gateway/GatewaySettings.test.ts
+++ b/src/node/gateway/GatewaySettings.test.ts
@@ -35,6 +35,13 @@
     assert.equal(settings?.instance.bootstrap, true);
 });
 
+// Guards against bounds of 0 where the platform has no value for a placeholder of the template.
+test("GatewaySettings: a number without a value has its default and is not 0", () => {
+    const { settings } = parseGatewaySettings("node.ini", [...VALID_LINES, "revoke_ms =", "retry_slack = "].join("\n"));
+    assert.equal(settings?.bounds.revoke_ms, 5000);
+    assert.equal(settings?.bounds.retry_slack, 50);
+});
+
 test("GatewaySettings: reports each fault with file, line and field", () => {
     const peers = faultsOf(line => line.startsWith("peers") ? "peers = somewhere" : line);
     assert.match(peers.join("\n"), /^node\.ini:10: doors\.peers: must be IP:PORT/);
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -15,7 +15,13 @@
 
 const optionalAddress = z.union([z.literal("").transform(() => undefined), address]).optional();
 const list = z.string().transform(text => text.split(",").map(item => item.trim()).filter(item => item !== ""));
-const number = z.coerce.number("must be a number");
+/** A key without a value has its default: templates leave it empty where the platform has no value. */
+/** A number from `min` to `max`. Where the platform has no value for it, its template leaves it empty. */
+const number = (min: number, defaultValue: number, max = Number.MAX_VALUE) =>
+    z.preprocess(
+        text => text === "" ? undefined : text,
+        z.coerce.number("must be a number").min(min).max(max).default(defaultValue),
+    );
 const flag = z.union([z.boolean(), z.enum(["true", "false", ""]).transform(text => text === "true")]);
 const optionalText = z.string().optional().transform(text => text === "" ? undefined : text);
 
@@ -27,7 +33,7 @@
         region: z.string().default("").describe("Region of the failure domain."),
         data: optionalText.describe("Data folder; needed with the role control."),
         bootstrap: flag.default(false).describe("Whether the system as a whole starts for the first time."),
-        warm_up_ms: number.min(0).default(0).describe(
+        warm_up_ms: number(0, 0).describe(
             "Longest time for which a new process sends itself requests, so that its code is compiled before callers come; 0 for none, in ms.",
         ),
     }),
@@ -46,23 +52,23 @@
         secret: z.string().min(16, "must have at least 16 characters"),
     }),
     bounds: z.object({
-        stop_grace_s: number.min(0).default(8).describe("Time between SIGTERM and SIGKILL, in s."),
-        revoke_ms: number.min(0).default(5000).describe(
+        stop_grace_s: number(0, 8).describe("Time between SIGTERM and SIGKILL, in s."),
+        revoke_ms: number(0, 5000).describe(
             "Time within which a removed key must stop working on every instance, in ms.",
         ),
-        session_s: number.min(0).default(5).describe(
+        session_s: number(0, 5).describe(
             "Longest pause of a session, from a response to the next request, in s.",
         ),
-        cold_excess: number.min(0).default(1.5).describe(
+        cold_excess: number(0, 1.5).describe(
             "Factor by which the request rate of a cold upstream may exceed its capacity.",
         ),
-        cold_slack: number.min(0).default(5).describe("Additional requests to a cold upstream, per second."),
-        retry_ratio: number.min(0).default(0.9).describe("Retries per request, over all instances together."),
-        retry_slack: number.min(0).default(50).describe("Additional retries in a window."),
-        rollout_exposure: number.min(0).max(1).default(0.15).describe(
+        cold_slack: number(0, 5).describe("Additional requests to a cold upstream, per second."),
+        retry_ratio: number(0, 0.9).describe("Retries per request, over all instances together."),
+        retry_slack: number(0, 50).describe("Additional retries in a window."),
+        rollout_exposure: number(0, 0.15, 1).describe(
             "Largest share of a service's requests that a bad version may get during a roll-out.",
         ),
-        retry_window_s: number.min(0.1).default(10).describe("Length of the retry window, in s."),
+        retry_window_s: number(0.1, 10).describe("Length of the retry window, in s."),
     }).prefault({}),
     log: z.object({
         level: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
--- a/src/node/settings/SettingsSchema.ts
+++ b/src/node/settings/SettingsSchema.ts
@@ -16,7 +16,12 @@
 export type Address = z.output<typeof address>;
 
 const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "must be 1 to 64 letters, digits, dots, dashes");
-const count = z.coerce.number("must be a number").int("must be a whole number");
+/** A whole number from `min` to `max`. An empty value is no number, though `Number` takes it for 0. */
+const count = (min: number, defaultValue: number, max = Number.MAX_SAFE_INTEGER) =>
+    z.preprocess(
+        text => text === "" ? NaN : text,
+        z.coerce.number("must be a number").int("must be a whole number").min(min).max(max).default(defaultValue),
+    );
 const flag = z.union([z.boolean(), z.enum(["true", "false"]).transform(text => text === "true")]);
 const list = z.string().transform(text => text.split(",").map(item => item.trim()).filter(item => item !== ""));
 const roles = list.pipe(z.array(z.enum(["entry", "control"], "must be entry, control, or both")).min(1));
@@ -54,21 +59,21 @@
         bootstrap: z.string().optional().describe("File of the sheet that is submitted when no sheet is in force yet."),
     }).prefault({}),
     limits: z.strictObject({
-        max_body_bytes: count.min(1024).default(4_194_304).describe("Largest request body, in bytes."),
-        max_header_bytes: count.min(1024).default(16_384).describe("Largest header block, in bytes."),
-        max_headers: count.min(8).default(100).describe("Largest number of headers in one request."),
-        max_connections: count.min(1).default(10_000).describe("Largest number of open connections from callers."),
-        body_timeout_ms: count.min(10).default(10_000).describe("Longest time for a whole request to arrive, in ms."),
-        default_deadline_ms: count.min(1).max(MAX_REQUEST_MS).default(60_000)
+        max_body_bytes: count(1024, 4_194_304).describe("Largest request body, in bytes."),
+        max_header_bytes: count(1024, 16_384).describe("Largest header block, in bytes."),
+        max_headers: count(8, 100).describe("Largest number of headers in one request."),
+        max_connections: count(1, 10_000).describe("Largest number of open connections from callers."),
+        body_timeout_ms: count(10, 10_000).describe("Longest time for a whole request to arrive, in ms."),
+        default_deadline_ms: count(1, 60_000, MAX_REQUEST_MS)
             .describe("Deadline of a request that does not set one, in ms."),
         require_deadline: flag.default(false).describe("Whether requests without a deadline are refused."),
-        stop_grace_ms: count.min(0).max(600_000).default(MAX_REQUEST_MS)
+        stop_grace_ms: count(0, MAX_REQUEST_MS, 600_000)
             .describe("Longest time that a planned stop waits for requests in flight, in ms."),
     }).prefault({}),
     routing: z.strictObject({
         other_domain_ms: z.coerce.number().min(0).default(2)
             .describe("Added latency of a request to another failure domain, in ms."),
-        prompt_tokens_per_s: count.min(1).default(5000).describe(
+        prompt_tokens_per_s: count(1, 5000).describe(
             "Rate at which an engine processes uncached prompt tokens, in tokens per second.",
         ),
     }).prefault({}),
