A voter that has lost its disk neither votes nor counts until it is readmitted

Cause: a voter without its disk has forgotten which entries it confirmed, its term and vote, and that it has forgotten anything. It was recognized by its empty log, so it voted again from the first refilled entry on, and its new copies counted at once. Change: such a voter stores a recovery id first of all. While it recovers, it casts no vote, is no candidate, and its replies, which carry the id, count neither for commits nor for the lease nor for confirmations. When its log is complete, the leader appends an entry that readmits it, committed by a majority in which it doesn't count. Also: votes, overwritten entries, recoveries and readmissions are logged; committed entries that are overwritten, and revisions in memory that the confirmed log lacks, are counted. The instance's fleet in memory had hidden the loss. Ruled out: that only the read was older (entry 121 was truncated at the instance that had it).

--- a/addons/fakes/MemoryLogStore.ts
+++ b/addons/fakes/MemoryLogStore.ts
@@ -2,7 +2,13 @@
  * An in-memory disk for the control log of one instance, for tests and benches. Synced data survives a crash of
  * the instance; a write in progress is lost unless it completes before the log is opened again.
  */
-import { type LogEntry, type LogStore, type Snapshot, type StoredLog } from "../../src/common/control/LogStore.ts";
+import {
+    type DiskIntegrity,
+    type LogEntry,
+    type LogStore,
+    type Snapshot,
+    type StoredLog,
+} from "../../src/common/control/LogStore.ts";
 import { type Clock, sleep } from "../../src/common/time/Clock.ts";
 
 /** Durable control log of one voter. */
@@ -12,6 +18,7 @@
     public writeError: Error | undefined;
     private readonly clock: Clock;
     private readonly syncMs: number;
+    private integrity: DiskIntegrity | undefined;
     private term = 0;
     private votedFor: string | undefined;
     private snapshot: Snapshot | undefined;
@@ -25,17 +32,22 @@
 
     /** Deletes all content, as the loss of the disk does. */
     public wipe(): void {
+        this.openCount++;
+        this.integrity = undefined;
         this.term = 0;
         this.votedFor = undefined;
         this.snapshot = undefined;
         this.entries = [];
     }
 
-    /** Opens the log for a newly started process. Writes of earlier processes that are still pending are discarded. */
-    public open(): LogStore {
+    /**
+     * Opens the log for a newly started process, whose writes complete by `clock`. Writes of earlier processes that are
+     * still pending are discarded.
+     */
+    public open(clock = this.clock): LogStore {
         const opening = ++this.openCount;
         const write = async (apply: () => void): Promise<void> => {
-            await sleep(this.clock, this.syncMs);
+            await sleep(clock, this.syncMs);
             if (this.writeError !== undefined) {
                 throw this.writeError;
             }
@@ -46,11 +58,16 @@
         };
         return {
             load: async (): Promise<StoredLog> => ({
+                integrity: this.integrity,
                 term: this.term,
                 votedFor: this.votedFor,
                 snapshot: structuredClone(this.snapshot),
                 entries: structuredClone(this.entries),
             }),
+            saveIntegrity: integrity =>
+                write(() => {
+                    this.integrity = integrity;
+                }),
             saveVote: (term, votedFor) =>
                 write(() => {
                     this.term = term;
--- a/src/cli/RecoverCommand.ts
+++ b/src/cli/RecoverCommand.ts
@@ -41,6 +41,7 @@
     if (options.confirm === deployment) {
         const term = Math.max(stored.term, lastTerm) + 1;
         await store.saveVote(term, id);
+        await store.saveIntegrity({});
         await store.append([{ index: lastIndex + 1, term, command: { kind: VOTERS_COMMAND, voters: [id] } }]);
         print(`${id} is now the only voter; start it, then add the others with "skylarktide control add"`);
     }
--- a/src/common/control/ControlLog.test.ts
+++ b/src/common/control/ControlLog.test.ts
@@ -73,6 +73,7 @@
             store: store.open(),
             stateMachine,
             initialVoters: IDS,
+            isFirstStart: true,
             random: this.random.next,
         };
         const log = new ControlLog(deps);
--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -8,13 +8,13 @@
 import { repeat } from "../time/Clock.ts";
 import { type Committed, type ControlLogDependencies, type ControlStatus, noMajorityError } from "./ControlTypes.ts";
 import { Elector } from "./Elector.ts";
-import { VOTERS_COMMAND } from "./EntryLog.ts";
+import { VOTERS_COMMAND, votersCommand } from "./EntryLog.ts";
 import { type Command, type LogEntry } from "./LogStore.ts";
 import { Replicator } from "./Replicator.ts";
 import { Voter } from "./Voter.ts";
 
-/** How often the leader checks its lease, in ms. */
-const LEASE_CHECK_PERIOD_MS = 50;
+/** How often the leader checks its lease, and whether voters are to be readmitted, in ms. */
+const CHECK_PERIOD_MS = 50;
 
 /** One voter of the control log: answers the calls of the other voters and, as the leader, accepts proposals. */
 export class ControlLog extends DisposableOwner {
@@ -39,6 +39,11 @@
         return this.voter.onApplied;
     }
 
+    /** Fires when something happens that explains a later loss, or shows one. */
+    public get onEvent(): Voter["onEvent"] {
+        return this.voter.onEvent;
+    }
+
     public get status(): ControlStatus {
         return this.voter.status;
     }
@@ -63,7 +68,10 @@
         this.register(network.handle("appendEntries", req => this.onAppendEntries(req)));
         this.register(network.handle("installSnapshot", req => this.onInstallSnapshot(req)));
         this.register(network.handle("propose", req => this.onPropose(req)));
-        this.register(repeat(clock, LEASE_CHECK_PERIOD_MS, () => this.checkLease()));
+        this.register(repeat(clock, CHECK_PERIOD_MS, () => {
+            this.checkLease();
+            this.readmitVoters();
+        }));
     }
 
     /**
@@ -95,14 +103,31 @@
             return this.append({ kind: "none" });
         }
         this.validateVoterChange(next);
-        for (const added of next.filter(other => !voter.log.voters.includes(other))) {
+        const [added] = next.filter(other => !voter.log.voters.includes(other));
+        if (added !== undefined) {
             await this.replicator.catchUp(added);
         }
         if (isSameSet(next, voter.log.voters)) {
             return this.append({ kind: "none" });
         }
         this.validateVoterChange(next);
-        return this.append({ kind: VOTERS_COMMAND, voters: [...next] });
+        return this.append(votersCommand(next, added === undefined ? undefined : this.replicator.readmissionOf(added)));
+    }
+
+    /**
+     * Readmits a voter that lost its disk and holds all committed entries again, one at a time. The entry is committed by
+     * the whole voters alone, so that a majority without this one outlives all that it has forgotten.
+     */
+    private readmitVoters(): void {
+        const { voter } = this;
+        if (voter.role !== "leader" || this.replicator.hasLostMajority || this.voterChangeObstacle !== undefined) {
+            return;
+        }
+        const due = this.replicator.dueReadmissions.find(item => voter.log.indexOfReadmission(item) === undefined);
+        if (due !== undefined) {
+            voter.report({ kind: "readmitting", ...due });
+            this.append(votersCommand(voter.log.voters, due)).catch(() => undefined);
+        }
     }
 
     private append(command: Command): Promise<Committed> {
@@ -115,18 +140,25 @@
 
     /** Allows one added or removed voter at a time, so that every old and every new majority share a voter. */
     private validateVoterChange(next: readonly string[]): void {
-        const { log, commitIndex, term } = this.voter;
+        const { log } = this.voter;
         const added = next.filter(other => !log.voters.includes(other));
         const removed = log.voters.filter(other => !next.includes(other));
         if (added.length + removed.length !== 1) {
             throw voterChangeError("voters are added or removed one at a time");
         }
-        if (log.votersAt(commitIndex) !== log.voters) {
-            throw voterChangeError("another change of voters is under way");
+        const obstacle = this.voterChangeObstacle;
+        if (obstacle !== undefined) {
+            throw voterChangeError(obstacle);
         }
-        if (log.termAt(commitIndex) !== term) {
-            throw voterChangeError("the leader has just been elected; try again");
+    }
+
+    /** Why the voters can't be changed now; undefined if they can. */
+    private get voterChangeObstacle(): string | undefined {
+        const { log, commitIndex, term } = this.voter;
+        if (log.votersAt(commitIndex) !== log.voters) {
+            return "another change of voters is under way";
         }
+        return log.termAt(commitIndex) === term ? undefined : "the leader has just been elected; try again";
     }
 
     private checkLease(): void {
@@ -141,8 +173,16 @@
 
     private async onAppendEntries(req: PeerRequest<"appendEntries">): Promise<PeerReply<"appendEntries">> {
         const { voter } = this;
+        this.requireCountsOf(req);
         const reply = await voter.write(() => this.followEntries(req));
-        return { ...reply, receipt: voter.receipts.issue() };
+        return { ...reply, receipt: voter.receipts.issue(), recoveryId: voter.recoveryId };
+    }
+
+    /** Throws if this voter is recovering and the leader, of an earlier build, would count its copy. */
+    private requireCountsOf({ excludesRecovering }: { excludesRecovering: boolean; }): void {
+        if (!excludesRecovering && this.voter.recoveryId !== undefined) {
+            throw noMajorityError("this voter has lost its disk, and the leader would count it", "not_run", undefined);
+        }
     }
 
     private async followEntries(req: PeerRequest<"appendEntries">): Promise<PeerReply<"appendEntries">> {
@@ -161,12 +201,24 @@
         if (Math.min(req.commitIndex, lastIndex) > voter.commitIndex) {
             voter.commit(Math.min(req.commitIndex, lastIndex));
         }
+        await this.completeRecoveryIfReadmitted(req.leader);
         if (voter.commitIndex >= req.commitIndex) {
             this.recordConfirmation(req);
         }
         return { term: voter.term, isAccepted: true, lastIndex };
     }
 
+    private async completeRecoveryIfReadmitted(leader: string): Promise<void> {
+        const { voter } = this;
+        if (voter.recoveryId === undefined) {
+            return;
+        }
+        const index = voter.log.indexOfReadmission({ voter: voter.self, recoveryId: voter.recoveryId });
+        if (index !== undefined && index <= voter.commitIndex) {
+            await voter.completeRecovery(leader);
+        }
+    }
+
     /**
      * The leader sent the age of its confirmation after it had received the receipt. The time of arrival proves nothing,
      * as the message may have been held up on its way.
@@ -188,6 +240,8 @@
             return;
         }
         if (first.index <= log.lastIndex) {
+            const { lastIndex } = log;
+            voter.report({ kind: "truncated", index: first.index, lastIndex, commitIndex: voter.commitIndex });
             await voter.deps.store.truncate(first.index);
             log.truncate(first.index);
         }
@@ -199,6 +253,7 @@
 
     private async onInstallSnapshot(req: PeerRequest<"installSnapshot">): Promise<PeerReply<"installSnapshot">> {
         const { voter } = this;
+        this.requireCountsOf(req);
         return voter.write(async () => {
             if (req.term >= voter.term) {
                 await this.followLeader(req.term, req.leader);
@@ -207,7 +262,7 @@
                     await voter.installSnapshot({ lastIndex, lastTerm, voters, state });
                 }
             }
-            return { term: voter.term };
+            return { term: voter.term, recoveryId: voter.recoveryId };
         });
     }
 
--- a/src/common/control/ControlTypes.ts
+++ b/src/common/control/ControlTypes.ts
@@ -32,6 +32,22 @@
     readonly outcome: Record<string, unknown>;
 }
 
+/** Something that happened to a voter and that explains a later loss, or shows one. */
+export type ControlEvent =
+    /** The voter starts without the disk that it had, or as a new one. */
+    | { readonly kind: "recovering"; readonly recoveryId: string; }
+    | { readonly kind: "recovered"; readonly lastIndex: number; }
+    /** The leader readmits a voter whose copy is complete. */
+    | { readonly kind: "readmitting"; readonly voter: string; readonly recoveryId: string; }
+    | {
+        readonly kind: "voted";
+        readonly term: number;
+        readonly candidate: string;
+        readonly candidateLastIndex: number;
+    }
+    /** Entries of another leader are dropped; dropping committed ones is a fault. */
+    | { readonly kind: "truncated"; readonly index: number; readonly lastIndex: number; readonly commitIndex: number; };
+
 /** State of a voter, for operators. */
 export interface ControlStatus {
     readonly role: ControlRole;
@@ -41,6 +57,8 @@
     readonly lastIndex: number;
     readonly commitIndex: number;
     readonly snapshotIndex: number;
+    /** Id of the recovery from the loss of this voter's disk; undefined while it is whole. */
+    readonly recoveryId: string | undefined;
     /** Error text of the storage when the voter stopped because its storage failed. */
     readonly failure: string | undefined;
 }
@@ -53,6 +71,11 @@
     readonly stateMachine: StateMachine;
     /** Voters at the first start; later changes are entries of the log. */
     readonly initialVoters: readonly string[];
+    /**
+     * Whether the system as a whole starts for the first time, so that an empty disk does not show a loss. Must be false
+     * when a voter returns without its disk, or starts later than the others.
+     */
+    readonly isFirstStart: boolean;
     /** Number of entries after which a snapshot is taken; to be lowered for entries that are larger than usual. */
     readonly snapshotAfterEntries?: number;
     /** Whether the first election timeout is shorter, so that a leader is elected soon after all voters restart. */
--- a/src/common/control/Elector.ts
+++ b/src/common/control/Elector.ts
@@ -41,7 +41,7 @@
     /** Answers another voter's request for a vote or a pre-vote. */
     public async onRequestVote(req: PeerRequest<"requestVote">): Promise<PeerReply<"requestVote">> {
         const { voter } = this;
-        if (this.hasActiveLeader() || !this.isLogUpToDate(req)) {
+        if (!voter.canVote || this.hasActiveLeader() || !this.isLogUpToDate(req)) {
             return { term: voter.term, isGranted: false };
         }
         if (req.isPreVote) {
@@ -52,11 +52,13 @@
                 await voter.saveVote(req.term, undefined);
                 voter.setRole("follower", undefined);
             }
-            const canVote = voter.vote === undefined || voter.vote === req.candidate;
-            const isGranted = req.term === voter.term && canVote && this.isLogUpToDate(req);
+            const hasVote = voter.vote === undefined || voter.vote === req.candidate;
+            const isGranted = req.term === voter.term && hasVote && voter.canVote && this.isLogUpToDate(req);
             if (isGranted) {
-                await voter.saveVote(req.term, req.candidate);
+                const { term, candidate, lastIndex } = req;
+                await voter.saveVote(term, candidate);
                 this.resetElectionTimer();
+                voter.report({ kind: "voted", term, candidate, candidateLastIndex: lastIndex });
             }
             return { term: voter.term, isGranted };
         });
@@ -65,7 +67,7 @@
     private checkTimeout(): void {
         const { voter } = this;
         const hasTimedOut = voter.now - voter.electionTimerStartedAt > this.electionTimeoutMs;
-        if (voter.role !== "leader" && voter.isVoter && voter.isActive && hasTimedOut) {
+        if (voter.role !== "leader" && voter.isVoter && voter.canVote && hasTimedOut) {
             this.resetElectionTimer();
             void this.runElection();
         }
@@ -85,7 +87,7 @@
     /** Whether the candidate's log allows this voter to vote for it. */
     private isLogUpToDate(req: PeerRequest<"requestVote">): boolean {
         const { log } = this.voter;
-        // An empty log here but not at the candidate means that this voter lost its disk and the votes on it.
+        // Where a first start can't be told from the loss of the disk, an empty log beside a filled one shows the loss.
         if (log.lastIndex === 0 && req.lastIndex > 0) {
             return false;
         }
--- a/src/common/control/EntryLog.ts
+++ b/src/common/control/EntryLog.ts
@@ -1,11 +1,24 @@
 /**
  * The in-memory part of the control log: the entries after the newest snapshot.
  */
-import { type LogEntry, type Snapshot } from "./LogStore.ts";
+import { type Command, type LogEntry, type Snapshot } from "./LogStore.ts";
 
 /** Kind of the command that sets the voters, in force from its index on. */
 export const VOTERS_COMMAND = "voters";
 
+/** A voter that lost its disk, and the recovery that ends when the command is committed. */
+export interface Readmission {
+    readonly voter: string;
+    readonly recoveryId: string;
+}
+
+/** The command that sets the voters, and readmits one of them if it lost its disk. */
+export const votersCommand = (voters: readonly string[], readmission?: Readmission): Command => ({
+    kind: VOTERS_COMMAND,
+    voters: [...voters],
+    ...(readmission === undefined ? {} : { readmission }),
+});
+
 /** Entries of the log that follow a snapshot. */
 export class EntryLog {
     private baseSnapshot: Snapshot;
@@ -88,6 +101,14 @@
         return newest === undefined ? this.baseSnapshot.voters : votersOf(newest);
     }
 
+    /** Index of the newest entry after the snapshot that ends the recovery; undefined when there is none. */
+    public indexOfReadmission({ voter, recoveryId }: Readmission): number | undefined {
+        return this.entries.findLast(entry => {
+            const readmission = isVotersEntry(entry) ? readmissionOf(entry) : undefined;
+            return readmission?.voter === voter && readmission.recoveryId === recoveryId;
+        })?.index;
+    }
+
     private latestVoters(): readonly string[] {
         return this.votersAt(Infinity);
     }
@@ -100,3 +121,6 @@
 const isVotersEntry = (entry: LogEntry): boolean => entry.command["kind"] === VOTERS_COMMAND;
 
 const votersOf = (entry: LogEntry): readonly string[] => entry.command["voters"] as readonly string[];
+
+const readmissionOf = (entry: LogEntry): Readmission | undefined =>
+    entry.command["readmission"] as Readmission | undefined;
--- a/src/common/control/LogStore.ts
+++ b/src/common/control/LogStore.ts
@@ -22,8 +22,16 @@
     readonly state: Record<string, unknown>;
 }
 
+/** Whether the disk of a voter holds all that the voter has confirmed. */
+export interface DiskIntegrity {
+    /** Id of the recovery from the loss of the disk; undefined while the voter is whole. */
+    readonly recoveryId?: string | undefined;
+}
+
 /** Stored state of a voter. */
 export interface StoredLog {
+    /** Undefined on an empty disk, and in logs of earlier builds. */
+    readonly integrity: DiskIntegrity | undefined;
     readonly term: number;
     readonly votedFor: string | undefined;
     readonly snapshot: Snapshot | undefined;
@@ -34,6 +42,7 @@
 /** Durable storage of one voter. Calls are made one at a time. */
 export interface LogStore {
     load(): Promise<StoredLog>;
+    saveIntegrity(integrity: DiskIntegrity): Promise<void>;
     saveVote(term: number, votedFor: string | undefined): Promise<void>;
     append(entries: readonly LogEntry[]): Promise<void>;
     /** Drops the entries from `index` on. */
--- a/src/common/control/Recovery.test.ts
+++ b/src/common/control/Recovery.test.ts
@@ -31,6 +31,7 @@
         const deps = { clock, network: hub.join(id, IDS), store: disk.open(), stateMachine: state, initialVoters: IDS };
         const log = new ControlLog({
             ...deps,
+            isFirstStart: true,
             recoversStorage: true,
             hasShortFirstTimeout: true,
             random: random.next,
--- a/src/common/control/Replicator.ts
+++ b/src/common/control/Replicator.ts
@@ -12,7 +12,7 @@
     noMajorityError,
     SNAPSHOT_TIMEOUT_MS,
 } from "./ControlTypes.ts";
-import { VOTERS_COMMAND } from "./EntryLog.ts";
+import { type Readmission, votersCommand } from "./EntryLog.ts";
 import { Signal } from "./Signal.ts";
 import { type Voter } from "./Voter.ts";
 
@@ -28,6 +28,8 @@
     ackedAt: number;
     /** Receipt of its newest reply. */
     receipt?: string | undefined;
+    /** Id of its recovery from the loss of its disk; its replies don't count meanwhile. */
+    recoveryId?: string | undefined;
 }
 
 /** Replicates the log of one voter while it is the leader. */
@@ -56,7 +58,7 @@
         // Committing the term's first entry commits those of earlier terms, which a leader must not commit by
         // counting their copies.
         const isFirst = voter.log.lastIndex === 0;
-        const command = isFirst ? { kind: VOTERS_COMMAND, voters: [...voter.log.voters] } : { kind: "none" };
+        const command = isFirst ? votersCommand(voter.log.voters) : { kind: "none" };
         voter.appendAsLeader(command).catch(() => undefined);
         this.replicate();
     }
@@ -101,7 +103,7 @@
     private majorityAckedAt(): number {
         const { voter } = this;
         const times = voter.log.voters.map(other =>
-            other === voter.self ? voter.now : this.progress.get(other)?.ackedAt ?? -Infinity
+            other === voter.self ? voter.now : this.countedProgress(other)?.ackedAt ?? -Infinity
         );
         return times.sort((a, b) => b - a)[majorityOf(times.length) - 1] ?? -Infinity;
     }
@@ -116,6 +118,20 @@
         return hasCommittedInTerm ? this.majorityAckedAt() : -Infinity;
     }
 
+    /** The recovery of a peer; undefined if it is whole, or unknown. */
+    public readmissionOf(peer: string): Readmission | undefined {
+        const recoveryId = this.progress.get(peer)?.recoveryId;
+        return recoveryId === undefined ? undefined : { voter: peer, recoveryId };
+    }
+
+    /** Recoveries of the voters that hold all committed entries again. */
+    public get dueReadmissions(): Readmission[] {
+        const { commitIndex } = this.voter;
+        return this.otherVoters()
+            .filter(peer => (this.progress.get(peer)?.matchIndex ?? 0) >= commitIndex)
+            .flatMap(peer => this.readmissionOf(peer) ?? []);
+    }
+
     /** Wakes the replication tasks, so that they end when this voter is no longer the leader. */
     public wakeTasks(): void {
         this.taskSignal.fire();
@@ -173,8 +189,10 @@
 
     private async sendSnapshot(peer: string, progress: PeerProgress, term: number): Promise<number> {
         const { lastIndex, lastTerm, state, voters } = this.voter.log.snapshot;
-        const req = { term, leader: this.voter.self, lastIndex, lastTerm, state, voters: [...voters] };
+        const sender = { term, leader: this.voter.self, excludesRecovering: true };
+        const req = { ...sender, lastIndex, lastTerm, state, voters: [...voters] };
         const reply = await this.voter.deps.network.call(peer, "installSnapshot", req, SNAPSHOT_TIMEOUT_MS);
+        this.updateRecovery(progress, reply.recoveryId);
         if (reply.term <= term) {
             progress.nextIndex = lastIndex + 1;
             progress.matchIndex = Math.max(progress.matchIndex, lastIndex);
@@ -188,6 +206,7 @@
         const req: PeerRequest<"appendEntries"> = {
             term,
             leader: voter.self,
+            excludesRecovering: true,
             prevIndex,
             prevTerm: voter.log.termAt(prevIndex) ?? 0,
             entries: voter.log.between(progress.nextIndex, prevIndex + MAX_BATCH_ENTRIES),
@@ -197,10 +216,19 @@
         };
         const reply = await voter.deps.network.call(peer, "appendEntries", req, CALL_TIMEOUT_MS);
         progress.receipt = reply.receipt;
+        this.updateRecovery(progress, reply.recoveryId);
         this.updateProgress(progress, reply);
         return reply.term;
     }
 
+    private updateRecovery(progress: PeerProgress, recoveryId: string | undefined): void {
+        if (recoveryId !== undefined && progress.recoveryId !== recoveryId) {
+            // What was known of its copy was lost with its disk.
+            progress.matchIndex = 0;
+        }
+        progress.recoveryId = recoveryId;
+    }
+
     private updateProgress(progress: PeerProgress, reply: PeerReply<"appendEntries">): void {
         if (reply.isAccepted) {
             progress.matchIndex = Math.max(progress.matchIndex, reply.lastIndex);
@@ -249,7 +277,13 @@
     }
 
     private matchIndexOf(other: string): number {
-        return other === this.voter.self ? this.voter.durableIndex : this.progress.get(other)?.matchIndex ?? 0;
+        return other === this.voter.self ? this.voter.durableIndex : this.countedProgress(other)?.matchIndex ?? 0;
+    }
+
+    /** Progress of a peer whose replies count: a recovering one may have confirmed other things before its loss. */
+    private countedProgress(peer: string): PeerProgress | undefined {
+        const progress = this.progress.get(peer);
+        return progress?.recoveryId === undefined ? progress : undefined;
     }
 
     /** Starts replication to added voters, and steps down when the removal of this voter is committed. */
--- a/src/common/control/Voter.ts
+++ b/src/common/control/Voter.ts
@@ -7,13 +7,14 @@
 import { Emitter } from "../lifecycle/Emitter.ts";
 import {
     type Committed,
+    type ControlEvent,
     type ControlLogDependencies,
     type ControlRole,
     type ControlStatus,
     noMajorityError,
 } from "./ControlTypes.ts";
 import { EntryLog } from "./EntryLog.ts";
-import { type Command, type LogEntry, type Snapshot } from "./LogStore.ts";
+import { type Command, type LogEntry, type Snapshot, type StoredLog } from "./LogStore.ts";
 import { Mutex } from "./Mutex.ts";
 import { Receipts } from "./Receipts.ts";
 
@@ -22,6 +23,9 @@
 /** Delay after a storage failure before a voter reloads its log, in ms. */
 const RECOVERY_DELAY_MS = 500;
 
+/** Characters of a recovery id, which must differ between all losses of one voter. */
+const RECOVERY_ID_LENGTH = 16;
+
 /** A command that this voter appended as leader and that is not applied yet. */
 interface PendingProposal {
     readonly term: number;
@@ -57,12 +61,17 @@
     private appliedIndex = 0;
     private isCompacting = false;
     private failure: string | undefined;
+    private currentRecoveryId: string | undefined;
+    /** Whether it is known, and stored, that this voter is whole or recovering. */
+    private hasIntegrity = false;
     private readonly pending = new Map<number, PendingProposal>();
     private readonly roleChanged = this.register(new Emitter<ControlStatus>());
     private readonly applied = this.register(new Emitter<number>());
+    private readonly events = this.register(new Emitter<ControlEvent>());
 
     public readonly onRoleChanged = this.roleChanged.event;
     public readonly onApplied = this.applied.event;
+    public readonly onEvent = this.events.event;
 
     public constructor(deps: ControlLogDependencies) {
         super();
@@ -101,6 +110,16 @@
         return !this.isDisposed && this.failure === undefined;
     }
 
+    /** Id of the recovery from the loss of this voter's disk; undefined while it is whole. */
+    public get recoveryId(): string | undefined {
+        return this.currentRecoveryId;
+    }
+
+    /** Whether this voter may vote and be elected: a recovering one does not know what it has confirmed. */
+    public get canVote(): boolean {
+        return this.isActive && this.hasIntegrity && this.currentRecoveryId === undefined;
+    }
+
     public get status(): ControlStatus {
         return {
             role: this.currentRole,
@@ -110,6 +129,7 @@
             lastIndex: this.log.lastIndex,
             commitIndex: this.commitIndex,
             snapshotIndex: this.log.snapshot.lastIndex,
+            recoveryId: this.currentRecoveryId,
             failure: this.failure,
         };
     }
@@ -127,6 +147,7 @@
         this.appliedIndex = this.commitIndex;
         this.durableIndex = this.log.lastIndex;
         this.electionTimerStartedAt = this.now;
+        await this.write(() => this.restoreIntegrity(stored)).catch(() => undefined);
     }
 
     /** Runs a task that writes to disk. Rejects when it fails; this voter then stops taking part in the control log. */
@@ -159,6 +180,21 @@
         this.votedFor = votedFor;
     }
 
+    /**
+     * Takes part as a whole voter again, once the readmission is committed. Must be called inside `write`. The vote in the
+     * current term counts as given, as it may have been given before the loss.
+     */
+    public async completeRecovery(leader: string): Promise<void> {
+        await this.saveVote(this.currentTerm, this.votedFor ?? leader);
+        await this.deps.store.saveIntegrity({});
+        this.currentRecoveryId = undefined;
+        this.events.fire({ kind: "recovered", lastIndex: this.log.lastIndex });
+    }
+
+    public report(event: ControlEvent): void {
+        this.events.fire(event);
+    }
+
     /** Adopts a higher term from another voter's reply, as a follower. */
     public adoptTerm(term: number): Promise<void> {
         return this.write(async () => {
@@ -293,6 +329,26 @@
         this.log = new EntryLog(stored.snapshot ?? emptySnapshot(this.deps.initialVoters), stored.entries);
         this.durableIndex = this.log.lastIndex;
         this.electionTimerStartedAt = this.now;
+        await this.restoreIntegrity(stored);
+    }
+
+    /** Determines whether this voter is whole. What is new is stored before the voter takes part. */
+    private async restoreIntegrity({ integrity, entries, snapshot }: StoredLog): Promise<void> {
+        const isEmpty = entries.length === 0 && snapshot === undefined;
+        if (integrity === undefined && isEmpty) {
+            const isWhole = this.deps.isFirstStart && !this.hasIntegrity;
+            const recoveryId = isWhole ? undefined : createRecoveryId(this.deps.random);
+            await this.deps.store.saveIntegrity({ recoveryId });
+            this.currentRecoveryId = recoveryId;
+        }
+        else {
+            // Logs of earlier builds don't say that their voter is whole.
+            this.currentRecoveryId = integrity?.recoveryId;
+        }
+        this.hasIntegrity = true;
+        if (this.currentRecoveryId !== undefined) {
+            this.events.fire({ kind: "recovering", recoveryId: this.currentRecoveryId });
+        }
     }
 
     private async compactWhenLong(): Promise<void> {
@@ -328,3 +384,6 @@
 }
 
 const emptySnapshot = (voters: readonly string[]): Snapshot => ({ lastIndex: 0, lastTerm: 0, voters, state: {} });
+
+const createRecoveryId = (random: () => number): string =>
+    Array.from({ length: RECOVERY_ID_LENGTH }, () => Math.floor(random() * 16).toString(16)).join("");
--- a/src/common/gateway/VoterReconciler.test.ts
+++ b/src/common/gateway/VoterReconciler.test.ts
@@ -49,6 +49,7 @@
                     restore: state => void applied.splice(0, applied.length, ...(state["applied"] as unknown[])),
                 },
                 initialVoters: FIRST_VOTERS.includes(id) ? FIRST_VOTERS : [],
+                isFirstStart: FIRST_VOTERS.includes(id),
                 random: this.random.next,
             }),
         );
--- a/src/common/instance/InstanceCore.ts
+++ b/src/common/instance/InstanceCore.ts
@@ -161,8 +161,18 @@
         if (logStore === undefined || this.controlState === undefined) {
             return undefined;
         }
-        const deps = { clock, network, store: logStore, stateMachine: this.controlState, initialVoters, random };
-        return this.register(new ControlLog(deps));
+        const stateMachine = this.controlState;
+        return this.register(
+            new ControlLog({
+                clock,
+                network,
+                store: logStore,
+                stateMachine,
+                initialVoters,
+                isFirstStart: true,
+                random,
+            }),
+        );
     }
 
     private createFollower(): ConfigurationFollower {
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -36,6 +36,9 @@
  */
 const renewalsSchema = z.custom<Renewal[]>(value => Array.isArray(value) && value.every(isRenewal));
 
+/** Id of the replying voter's recovery; undefined if it is whole. The copy of a recovering voter does not count. */
+const recoveryId = z.string().optional();
+
 /** Request and reply schema of each call. The names of calls and fields are the format on the wire. */
 export const peerCalls = {
     /** Checks that the receiver is alive and exchanges membership updates both ways. */
@@ -265,6 +268,8 @@
             contactAgeMs: z.number(),
             /** Receipt of the newest reply that the leader has from the receiver; undefined before the first. */
             receipt: z.string().optional(),
+            /** Whether the sender counts no copies of recovering voters. Earlier builds count them. */
+            excludesRecovering: z.boolean().default(false),
         }),
         reply: z.object({
             term: z.number(),
@@ -273,6 +278,7 @@
             lastIndex: z.number(),
             /** Shows the replying voter, when the leader returns it, that a message was sent after this reply. */
             receipt: z.string().optional(),
+            recoveryId,
         }),
     },
     /** A snapshot, for a follower that lacks entries that the leader has compacted. */
@@ -284,8 +290,9 @@
             lastTerm: z.number(),
             state: anyObject,
             voters: z.array(z.string()),
+            excludesRecovering: z.boolean().default(false),
         }),
-        reply: z.object({ term: z.number() }),
+        reply: z.object({ term: z.number(), recoveryId }),
     },
     /** Proposes a command to the leader; a voter that is not the leader names the one it knows. */
     propose: {
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -19,6 +19,7 @@
 import { type PeerNetwork } from "../../common/peers/PeerNetwork.ts";
 import { type Clock, repeat, sleep } from "../../common/time/Clock.ts";
 import { type Log } from "../log/Log.ts";
+import { ControlLogMonitor } from "./ControlLogMonitor.ts";
 import { logReachability } from "./ReachabilityLog.ts";
 
 /** Time within which a change must be committed; after it the sender is told to retry, in ms. */
@@ -64,6 +65,7 @@
     private readonly statements: UpstreamStatements;
     private readonly follower: FleetFollower;
     private readonly publisher: FleetPublisher;
+    private readonly monitor: ControlLogMonitor;
 
     public constructor(deps: GatewayControlRoleDependencies) {
         super();
@@ -78,6 +80,7 @@
                 store,
                 stateMachine: this.state,
                 initialVoters: isBootstrap ? seeds : [],
+                isFirstStart: isBootstrap,
                 snapshotAfterEntries: SNAPSHOT_AFTER_ENTRIES,
                 recoversStorage: true,
                 hasShortFirstTimeout: true,
@@ -118,6 +121,15 @@
             }),
         );
         this.register(this.createVoterReconciler());
+        this.monitor = this.register(
+            new ControlLogMonitor({
+                clock,
+                controlLog: this.controlLog,
+                log,
+                loggedRevision: () => this.state.fleet.revision,
+                receivedRevision: () => this.follower.fleet.revision,
+            }),
+        );
         this.subscribe();
     }
 
@@ -125,6 +137,16 @@
         return this.controlLog.status.role === "leader";
     }
 
+    /** Whether this instance has lost its disk and is not readmitted as a voter yet. */
+    public get isRecovering(): boolean {
+        return this.controlLog.status.recoveryId !== undefined;
+    }
+
+    /** Signs that something committed was lost: committed entries overwritten here, and revisions that the log lacks. */
+    public get lossCounts(): { readonly overwrittenEntries: number; readonly lostRevisions: number; } {
+        return this.monitor;
+    }
+
     /** The newest revision that this instance knows to be committed. */
     public get fleet(): Fleet {
         const followedFleet = this.follower.fleet;
@@ -259,9 +281,6 @@
         this.register(this.state.onChanged(() => this.publisher.flush()));
         this.register(this.follower.onFleetChanged(() => this.publisher.flush()));
         this.register(logReachability(this.follower, log));
-        this.register(this.controlLog.onRoleChanged(({ role, term, leader, voters, failure }) => {
-            log.info("The control log has another role.", { role, term, leader, voters, failure });
-        }));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => {
             this.directory.evictStale();
             this.statements.evictStale();
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -209,6 +209,18 @@
                 help: "Entry instances on the roster; 0 while they may not know each other.",
                 read: () => entry?.rosterIds.length ?? 0,
             },
+            control_recovering: {
+                help: "1 on a control instance that has lost its disk and is not readmitted yet.",
+                read: () => control?.isRecovering === true ? 1 : 0,
+            },
+            overwritten_entries: {
+                help: "Committed entries of the control log that were overwritten; any is a loss.",
+                read: () => control?.lossCounts.overwrittenEntries ?? 0,
+            },
+            lost_revisions: {
+                help: "Revisions that were in force and that the control log lacks; any is a loss.",
+                read: () => control?.lossCounts.lostRevisions ?? 0,
+            },
             // Holds the confirmation age.
             proof_age_ms: {
                 help: "Age of the proof that the configuration is in force.",
--- a/src/node/storage/FileLogStore.ts
+++ b/src/node/storage/FileLogStore.ts
@@ -1,14 +1,22 @@
 /**
- * The control log on disk, in three files: the entries, the newest snapshot, and the current term with the vote.
+ * The control log on disk, in four files: the entries, the newest snapshot, the current term with the vote, and whether
+ * the disk holds all that the voter has confirmed.
  */
 import { join } from "node:path";
 import * as z from "zod";
-import { type LogEntry, type LogStore, type Snapshot, type StoredLog } from "../../common/control/LogStore.ts";
+import {
+    type DiskIntegrity,
+    type LogEntry,
+    type LogStore,
+    type Snapshot,
+    type StoredLog,
+} from "../../common/control/LogStore.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { type Log } from "../log/Log.ts";
 import { RecordFile } from "./RecordFile.ts";
 
 const entrySchema = z.object({ index: z.number(), term: z.number(), command: z.record(z.string(), z.unknown()) });
+const integritySchema = z.object({ recoveryId: z.string().optional() });
 const voteSchema = z.object({ term: z.number(), votedFor: z.string().optional() });
 const snapshotSchema = z.object({
     lastIndex: z.number(),
@@ -22,6 +30,7 @@
     private readonly entryFile: RecordFile;
     private readonly snapshotFile: RecordFile;
     private readonly voteFile: RecordFile;
+    private readonly integrityFile: RecordFile;
     private readonly log: Log;
     /** Index of the first entry in the file of entries. */
     private firstIndex = 1;
@@ -30,16 +39,18 @@
         this.entryFile = new RecordFile(join(folder, "entries"));
         this.snapshotFile = new RecordFile(join(folder, "snapshot"));
         this.voteFile = new RecordFile(join(folder, "vote"));
+        this.integrityFile = new RecordFile(join(folder, "integrity"));
         this.log = log;
     }
 
     /** Number of forced writes since the start. */
     public get syncCount(): number {
-        return this.entryFile.syncCount + this.snapshotFile.syncCount + this.voteFile.syncCount;
+        return this.files.reduce((sum, file) => sum + file.syncCount, 0);
     }
 
     /** Drops entries that the snapshot covers or contradicts. Rejects when entries are damaged or missing. */
     public async load(): Promise<StoredLog> {
+        const integrity = integritySchema.optional().parse(await this.openLast(this.integrityFile, "integrity"));
         const vote = voteSchema.optional().parse(await this.openLast(this.voteFile, "vote"));
         const snapshot = snapshotSchema.optional().parse(await this.openLast(this.snapshotFile, "snapshot"));
         const { values, truncatedBytes } = await this.entryFile.open();
@@ -52,7 +63,11 @@
         if (entries.length !== stored.length) {
             await this.entryFile.replace(entries);
         }
-        return { term: vote?.term ?? 0, votedFor: vote?.votedFor, snapshot, entries };
+        return { integrity, term: vote?.term ?? 0, votedFor: vote?.votedFor, snapshot, entries };
+    }
+
+    public async saveIntegrity(integrity: DiskIntegrity): Promise<void> {
+        await this.integrityFile.replace([integrity]);
     }
 
     public async saveVote(term: number, votedFor: string | undefined): Promise<void> {
@@ -79,7 +94,11 @@
     }
 
     public async close(): Promise<void> {
-        await Promise.all([this.entryFile.close(), this.snapshotFile.close(), this.voteFile.close()]);
+        await Promise.all(this.files.map(file => file.close()));
+    }
+
+    private get files(): RecordFile[] {
+        return [this.entryFile, this.snapshotFile, this.voteFile, this.integrityFile];
     }
 
     private async openLast(file: RecordFile, name: string): Promise<unknown> {
