A lost voter is replaced by adding its successor first

What operators would see: no change is ever accepted again, after a voter was lost and another one lost its disk while the first was being replaced. Cause: a lost voter was removed before its successor was brought up to date and added. Meanwhile two voters were left; if one of them loses its disk, the other can neither be elected nor readmit it, not even when the removed voter is back. Evidence: LostDisk.test.ts, "does not stop the others for good", fails with the old order: 12 s after all are back no change is accepted. Change: the successor is added first, the lost voter is removed next. If that one returns in between, one voter other than the leader is removed, so that their number is odd again. A new instance is readmitted by the entry that makes it a voter, and is whole once it has stored that entry: with the lost voter gone for good, the entry can't be committed without it. The test of the plan said that the lost voter is removed first, since otherwise no change could be committed without the successor. That is so for the one entry in between; with the old order none could be committed without any of the two that were left, for as long as the refill of the successor took. The test now states the new order, with the same number of steps, and the returning voter.

--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -208,14 +208,18 @@
         return { term: voter.term, isAccepted: true, lastIndex };
     }
 
+    /**
+     * Ends the recovery once the readmission is committed. An entry that adds this instance to voters that were without it
+     * need not be: these voters are committed, and a majority without this instance has outlived what it may have forgotten.
+     */
     private async completeRecoveryIfReadmitted(leader: string): Promise<void> {
-        const { voter } = this;
-        if (voter.recoveryId === undefined) {
+        const { log, self, recoveryId, commitIndex } = this.voter;
+        if (recoveryId === undefined) {
             return;
         }
-        const index = voter.log.indexOfReadmission({ voter: voter.self, recoveryId: voter.recoveryId });
-        if (index !== undefined && index <= voter.commitIndex) {
-            await voter.completeRecovery(leader);
+        const index = log.indexOfReadmission({ voter: self, recoveryId });
+        if (index !== undefined && (index <= commitIndex || !log.votersAt(index - 1).includes(self))) {
+            await this.voter.completeRecovery(leader);
         }
     }
 
--- a/src/common/control/LostDisk.test.ts
+++ b/src/common/control/LostDisk.test.ts
@@ -113,7 +113,7 @@
             clock,
             isLeader: () => log.status.role === "leader",
             voters: () => log.status.voters,
-            reachability: () => this.reachability(),
+            reachability: () => ({ self: id, ...this.reachability() }),
             propose: command => log.propose(command),
             onChange: () => undefined,
             onFailure: () => undefined,
@@ -286,6 +286,30 @@
     }
 });
 
+// Guards against a core that never accepts a change again: of two voters left, the one with the log can't readmit the other.
+test("a disk lost while another voter is being replaced does not stop the others for good", async () => {
+    const ids = [...FIRST_VOTERS, "d"];
+    const deployment = new Deployment(ids, 1, 1000);
+    await deployment.advance(2000);
+    for (let i = 0; i < 300; i++) {
+        deployment.propose();
+        await deployment.advance(20);
+    }
+    const leader = deployment.leader() ?? "";
+    const [silent = "", wiped = ""] = FIRST_VOTERS.filter(id => id !== leader);
+    deployment.kill(silent);
+    while (deployment.votersOf(leader).join("") === "abc") {
+        await deployment.advance(1);
+    }
+    deployment.loseDisk(wiped);
+    await deployment.advance(1000);
+    ids.forEach(id => deployment.start(id));
+    await deployment.untilAccepted();
+    await deployment.advance(2000);
+    deployment.assertNothingLost();
+    deployment.stop();
+});
+
 /** Disturbs the deployment for some seconds, around the loss of one disk. */
 const disturb = async (deployment: Deployment, ids: readonly string[]): Promise<void> => {
     const { random, clock } = deployment;
--- a/src/common/gateway/Decisions.test.ts
+++ b/src/common/gateway/Decisions.test.ts
@@ -144,22 +144,32 @@
 
 test("VoterPlan: voters are added one at a time up to an odd number, at most five", () => {
     const next = (voters: string, reachable: string): string | undefined =>
-        nextVoters([...voters], { reachable: [...reachable], lost: [] })?.join("");
+        nextVoters([...voters], { self: "a", reachable: [...reachable], lost: [] })?.join("");
     assert.equal(next("abc", "abcd"), undefined);
     assert.equal(next("abc", "abcde"), "abcd");
     assert.equal(next("abcd", "abcde"), "abcde");
     assert.equal(next("abcde", "abcdefg"), undefined);
 });
 
-test("VoterPlan: a lost voter is removed only when another instance can replace it", () => {
+test("VoterPlan: a lost voter is removed only after another instance has replaced it", () => {
     const next = (voters: string, reachable: string, lost: string): string | undefined =>
-        nextVoters([...voters], { reachable: [...reachable], lost: [...lost] })?.join("");
+        nextVoters([...voters], { self: "a", reachable: [...reachable], lost: [...lost] })?.join("");
     assert.equal(next("abc", "ab", "c"), undefined);
     assert.equal(next("abc", "abd", ""), undefined);
-    assert.equal(next("abc", "abd", "c"), "ab");
-    assert.equal(next("ab", "abd", "c"), "abd");
-    assert.equal(next("abcde", "abcdf", "e"), "abcd");
-    assert.equal(next("abcd", "abcdf", "e"), "abcdf");
+    assert.equal(next("abc", "abd", "c"), "abcd");
+    assert.equal(next("abcd", "abd", "c"), "abd");
+    assert.equal(next("abcde", "abcdf", "e"), "abcdef");
+    assert.equal(next("abcdef", "abcdf", "e"), "abcdf");
+    assert.equal(next("ab", "a", "b"), undefined);
+});
+
+test("VoterPlan: of an even number of voters one other than the leader is removed when the lost one has returned", () => {
+    const next = (voters: string, reachable: string, self: string): string | undefined =>
+        nextVoters([...voters], { self, reachable: [...reachable], lost: [] })?.join("");
+    assert.equal(next("abcd", "abcd", "a"), "abc");
+    assert.equal(next("abcd", "abcd", "d"), "abd");
+    assert.equal(next("abcd", "abc", "a"), "abc");
+    assert.equal(next("ab", "ab", "a"), undefined);
 });
 
 const candidate = (id: string, change: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
--- a/src/common/gateway/VoterPlan.ts
+++ b/src/common/gateway/VoterPlan.ts
@@ -5,9 +5,13 @@
 
 /** Five voters tolerate the loss of two. */
 const MAX_VOTERS = 5;
+/** Two voters tolerate no loss, so no voter is removed from three unless its successor is there. */
+const MIN_VOTERS = 3;
 
 /** Reachability of the control instances, by id. */
 export interface ControlReachability {
+    /** This instance, which leads. */
+    readonly self: string;
     /** Control instances that reply, including this one. */
     readonly reachable: readonly string[];
     /** Control instances that have been silent for so long that they are considered lost. */
@@ -15,23 +19,29 @@
 }
 
 /**
- * Returns the next set of voters, which differs by one voter; undefined when no change is needed. A lost voter is
- * removed before its successor is added: in the reverse order, no change could be committed without the successor.
+ * Returns the next set of voters, which differs by one voter; undefined when no change is needed. The successor of a lost
+ * voter is added before that one is removed: fewer voters could not go on if one of them lost its disk meanwhile, as
+ * readmitting it takes a majority without it.
  */
 export const nextVoters = (
     voters: readonly string[],
-    { reachable, lost }: ControlReachability,
+    { self, reachable, lost }: ControlReachability,
 ): string[] | undefined => {
-    const candidates = reachable.filter(id => !voters.includes(id)).sort();
-    const [added] = candidates;
-    if (added === undefined) {
-        return undefined;
-    }
+    const [added] = reachable.filter(id => !voters.includes(id)).sort();
     const lostVoter = voters.find(id => lost.includes(id));
-    if (lostVoter !== undefined) {
+    const hasSpareVoter = voters.length % 2 === 0 && voters.length > MIN_VOTERS;
+    if (lostVoter !== undefined && hasSpareVoter) {
         return voters.filter(id => id !== lostVoter);
     }
-    const available = voters.length + candidates.length;
+    if (lostVoter !== undefined) {
+        return added === undefined ? undefined : [...voters, added];
+    }
+    const available = new Set([...voters, ...reachable]).size;
     const target = Math.min(MAX_VOTERS, available % 2 === 0 ? available - 1 : available);
-    return voters.length < target ? [...voters, added] : undefined;
+    if (voters.length > target && hasSpareVoter) {
+        // The voter that was to be replaced has returned.
+        const surplus = voters.findLast(id => id !== self);
+        return voters.filter(id => id !== surplus);
+    }
+    return voters.length < target && added !== undefined ? [...voters, added] : undefined;
 };
--- a/src/common/gateway/VoterReconciler.test.ts
+++ b/src/common/gateway/VoterReconciler.test.ts
@@ -58,7 +58,7 @@
                 clock: this.clock,
                 isLeader: () => log.status.role === "leader",
                 voters: () => log.status.voters,
-                reachability: () => ({ reachable: [...this.running.keys()], lost: this.lost }),
+                reachability: () => ({ self: id, reachable: [...this.running.keys()], lost: this.lost }),
                 propose: command => log.propose(command),
                 onChange: () => undefined,
                 onFailure: () => undefined,
--- a/src/common/gateway/VoterReconciler.ts
+++ b/src/common/gateway/VoterReconciler.ts
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Applies all due changes without a pause between them. Between the removal of a lost voter and the addition of its
-     * successor, the remaining voters may not tolerate another loss.
+     * Applies all due changes without a pause between them. Between the addition of a successor and the removal of the
+     * lost voter, an even number of voters tolerates no more losses than before.
      */
     private async applySteps(): Promise<void> {
         const { isLeader, voters, reachability, propose, onChange } = this.deps;
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -259,6 +259,7 @@
             isLeader: () => this.isLeader,
             voters: () => this.controlLog.status.voters,
             reachability: () => ({
+                self: network.self,
                 reachable: [network.self, ...this.reachableControls],
                 lost: this.follower.silentControls(LOST_AFTER_MS),
             }),
