The control log is compacted by size too, and messages to lagging voters fit in a frame

Evidence: LogSize.test.ts on the code before: 33,556,822 bytes after 32 configurations, and a message of 72,353,257 bytes where a frame holds 67,108,864. Both pass now. Change: the entry log knows its approximate size; it is compacted at 16 MiB as well, and a message carries at most 8 MiB of entries, or one. Also: LostDisks.test.ts plays losses around one lost disk with real processes.

--- a/addons/fakes/MemoryLogStore.ts
+++ b/addons/fakes/MemoryLogStore.ts
@@ -30,6 +30,12 @@
         this.syncMs = syncMs;
     }
 
+    /** Size of what is stored, without the framing of a file. */
+    public get storedBytes(): number {
+        const entryBytes = this.entries.reduce((sum, entry) => sum + JSON.stringify(entry).length, 0);
+        return entryBytes + (this.snapshot === undefined ? 0 : JSON.stringify(this.snapshot).length);
+    }
+
     /** Deletes all content, as the loss of the disk does. */
     public wipe(): void {
         this.openCount++;
--- a/addons/fakes/MemoryNetwork.ts
+++ b/addons/fakes/MemoryNetwork.ts
@@ -16,6 +16,8 @@
 export class MemoryHub {
     /** Bytes of the requests that were delivered and of their replies, as on the wire; counted while `countsBytes`. */
     public bytes = 0;
+    /** Size of the largest of these messages. */
+    public largestMessageBytes = 0;
     /** Number of messages that were sent and not dropped by `linkDelay`. */
     public messages = 0;
     /** Whether messages are encoded as on the wire, to count their bytes. */
@@ -46,7 +48,9 @@
 
     public countBytes(message: unknown): void {
         if (this.countsBytes) {
-            this.bytes += encodeFrame({ id: 1, name: "", message }, undefined).length;
+            const { length } = encodeFrame({ id: 1, name: "", message }, undefined);
+            this.bytes += length;
+            this.largestMessageBytes = Math.max(this.largestMessageBytes, length);
         }
     }
 
--- a/src/common/control/EntryLog.ts
+++ b/src/common/control/EntryLog.ts
@@ -24,10 +24,12 @@
     private baseSnapshot: Snapshot;
     private entries: LogEntry[];
     private currentVoters: readonly string[];
+    private currentBytes: number;
 
     public constructor(snapshot: Snapshot, entries: readonly LogEntry[]) {
         this.baseSnapshot = snapshot;
         this.entries = [...entries];
+        this.currentBytes = totalBytes(entries);
         this.currentVoters = this.latestVoters();
     }
 
@@ -48,6 +50,11 @@
         return this.entries.length;
     }
 
+    /** Approximate size of the entries after the snapshot. */
+    public get bytes(): number {
+        return this.currentBytes;
+    }
+
     /** The voters in force: those of the newest entry that sets them, committed or not. */
     public get voters(): readonly string[] {
         return this.currentVoters;
@@ -63,6 +70,14 @@
         return this.entries[index - this.firstIndex];
     }
 
+    /** As many of the entries from index `first` on as fit in `maxEntries` and `maxBytes`, but one at least. */
+    public batch(first: number, maxEntries: number, maxBytes: number): LogEntry[] {
+        const entries = this.between(first, first + maxEntries - 1);
+        let bytes = 0;
+        const end = entries.findIndex(entry => (bytes += bytesOf(entry)) > maxBytes);
+        return end < 0 ? entries : entries.slice(0, Math.max(1, end));
+    }
+
     /** The entries in memory from index `first` to index `last`, both included. */
     public between(first: number, last: number): LogEntry[] {
         const start = Math.max(0, first - this.firstIndex);
@@ -71,6 +86,7 @@
 
     public append(entries: readonly LogEntry[]): void {
         this.entries.push(...entries);
+        this.currentBytes += totalBytes(entries);
         if (entries.some(isVotersEntry)) {
             this.currentVoters = this.latestVoters();
         }
@@ -78,6 +94,7 @@
 
     /** Drops the entries from `index` on. */
     public truncate(index: number): void {
+        this.currentBytes -= totalBytes(this.between(index, this.lastIndex));
         this.entries.length = Math.min(this.entries.length, Math.max(0, index - this.firstIndex));
         this.currentVoters = this.latestVoters();
     }
@@ -92,6 +109,7 @@
     public reset(snapshot: Snapshot, entries: readonly LogEntry[]): void {
         this.baseSnapshot = snapshot;
         this.entries = [...entries];
+        this.currentBytes = totalBytes(entries);
         this.currentVoters = this.latestVoters();
     }
 
@@ -124,3 +142,19 @@
 
 const readmissionOf = (entry: LogEntry): Readmission | undefined =>
     entry.command["readmission"] as Readmission | undefined;
+
+const totalBytes = (entries: readonly LogEntry[]): number => entries.reduce((sum, entry) => sum + bytesOf(entry), 0);
+
+/** Size of an entry without its texts, and of each field of a command that is no text; both roughly. */
+const FIXED_BYTES = 16;
+
+const bytesOf = (entry: LogEntry): number => FIXED_BYTES + valueBytes(entry.command);
+
+const valueBytes = (value: unknown): number => {
+    if (typeof value === "string") {
+        return value.length;
+    }
+    return value instanceof Object
+        ? Object.values(value).reduce((sum: number, item) => sum + valueBytes(item), 0)
+        : FIXED_BYTES;
+};
--- a/src/common/control/Replicator.ts
+++ b/src/common/control/Replicator.ts
@@ -20,6 +20,8 @@
 const CATCH_UP_TIMEOUT_MS = 10_000;
 /** Maximum number of entries in one message. */
 const MAX_BATCH_ENTRIES = 32;
+/** Size of the entries in one message that is not exceeded, unless by a single entry, in bytes. */
+const MAX_BATCH_BYTES = 8 * 1024 * 1024;
 
 interface PeerProgress {
     nextIndex: number;
@@ -209,7 +211,7 @@
             excludesRecovering: true,
             prevIndex,
             prevTerm: voter.log.termAt(prevIndex) ?? 0,
-            entries: voter.log.between(progress.nextIndex, prevIndex + MAX_BATCH_ENTRIES),
+            entries: voter.log.batch(progress.nextIndex, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES),
             commitIndex: voter.commitIndex,
             contactAgeMs: Math.min(NEVER_CONFIRMED_MS, voter.now - this.confirmedAt),
             ...(progress.receipt === undefined ? {} : { receipt: progress.receipt }),
--- a/src/common/control/Voter.ts
+++ b/src/common/control/Voter.ts
@@ -20,6 +20,8 @@
 
 /** Number of entries after the newest snapshot at which the log is compacted. */
 const SNAPSHOT_AFTER_ENTRIES = 1000;
+/** Size of these entries at which it is compacted, however few they are, in bytes. */
+const SNAPSHOT_AFTER_BYTES = 16 * 1024 * 1024;
 /** Delay after a storage failure before a voter reloads its log, in ms. */
 const RECOVERY_DELAY_MS = 500;
 
@@ -352,7 +354,9 @@
     }
 
     private async compactWhenLong(): Promise<void> {
-        if (this.isCompacting || this.log.length < (this.deps.snapshotAfterEntries ?? SNAPSHOT_AFTER_ENTRIES)) {
+        const maxEntries = this.deps.snapshotAfterEntries ?? SNAPSHOT_AFTER_ENTRIES;
+        const isLong = this.log.length >= maxEntries || this.log.bytes >= SNAPSHOT_AFTER_BYTES;
+        if (this.isCompacting || !isLong) {
             return;
         }
         this.isCompacting = true;
