--- a/src/common/control/LostDisk.test.ts
+++ b/src/common/control/LostDisk.test.ts
@@ -255,15 +255,21 @@
     }
 }
 
+/** A deployment whose log is refilled in several messages. */
+const startWithLog = async (ids: readonly string[]): Promise<Deployment> => {
+    const deployment = new Deployment(ids, 1, 1000);
+    await deployment.advance(2000);
+    for (let i = 0; i < 300; i++) {
+        deployment.propose();
+        await deployment.advance(20);
+    }
+    return deployment;
+};
+
 // Guards against an acknowledged change that is overwritten by a leader elected with the vote of a half-filled log.
 test("a voter that has lost its disk elects nobody while its log is refilled", async () => {
     for (const refillMs of [0, 20, 40, 80]) {
-        const deployment = new Deployment(FIRST_VOTERS, 1, 1000);
-        await deployment.advance(2000);
-        for (let i = 0; i < 300; i++) {
-            deployment.propose();
-            await deployment.advance(20);
-        }
+        const deployment = await startWithLog(FIRST_VOTERS);
         const leader = deployment.leader() ?? "";
         const [wiped = "", behind = ""] = FIRST_VOTERS.filter(id => id !== leader);
         deployment.kill(behind);
@@ -289,12 +295,7 @@
 // Guards against a core that never accepts a change again: of two voters left, the one with the log can't readmit the other.
 test("a disk lost while another voter is being replaced does not stop the others for good", async () => {
     const ids = [...FIRST_VOTERS, "d"];
-    const deployment = new Deployment(ids, 1, 1000);
-    await deployment.advance(2000);
-    for (let i = 0; i < 300; i++) {
-        deployment.propose();
-        await deployment.advance(20);
-    }
+    const deployment = await startWithLog(ids);
     const leader = deployment.leader() ?? "";
     const [silent = "", wiped = ""] = FIRST_VOTERS.filter(id => id !== leader);
     deployment.kill(silent);
