--- a/src/common/control/ControlLog.ts
+++ b/src/common/control/ControlLog.ts
@@ -173,13 +173,13 @@
 
     private async onAppendEntries(req: PeerRequest<"appendEntries">): Promise<PeerReply<"appendEntries">> {
         const { voter } = this;
-        this.requireCountsOf(req);
+        this.requireExclusion(req);
         const reply = await voter.write(() => this.followEntries(req));
         return { ...reply, receipt: voter.receipts.issue(), recoveryId: voter.recoveryId };
     }
 
-    /** Throws if this voter is recovering and the leader, of an earlier build, would count its copy. */
-    private requireCountsOf({ excludesRecovering }: { excludesRecovering: boolean; }): void {
+    /** Throws if this voter is recovering and the leader would count its copy, as earlier builds do. */
+    private requireExclusion({ excludesRecovering }: { excludesRecovering: boolean; }): void {
         if (!excludesRecovering && this.voter.recoveryId !== undefined) {
             throw noMajorityError("this voter has lost its disk, and the leader would count it", "not_run", undefined);
         }
@@ -257,7 +257,7 @@
 
     private async onInstallSnapshot(req: PeerRequest<"installSnapshot">): Promise<PeerReply<"installSnapshot">> {
         const { voter } = this;
-        this.requireCountsOf(req);
+        this.requireExclusion(req);
         return voter.write(async () => {
             if (req.term >= voter.term) {
                 await this.followLeader(req.term, req.leader);
--- a/src/common/control/Elector.ts
+++ b/src/common/control/Elector.ts
@@ -52,8 +52,8 @@
                 await voter.saveVote(req.term, undefined);
                 voter.setRole("follower", undefined);
             }
-            const hasVote = voter.vote === undefined || voter.vote === req.candidate;
-            const isGranted = req.term === voter.term && hasVote && voter.canVote && this.isLogUpToDate(req);
+            const hasVoteLeft = voter.vote === undefined || voter.vote === req.candidate;
+            const isGranted = req.term === voter.term && hasVoteLeft && voter.canVote && this.isLogUpToDate(req);
             if (isGranted) {
                 const { term, candidate, lastIndex } = req;
                 await voter.saveVote(term, candidate);
--- a/src/common/control/Voter.ts
+++ b/src/common/control/Voter.ts
@@ -193,6 +193,7 @@
         this.events.fire({ kind: "recovered", lastIndex: this.log.lastIndex });
     }
 
+    /** Tells observers what has happened; elections and replication report through this voter, too. */
     public report(event: ControlEvent): void {
         this.events.fire(event);
     }
