A setting in fractions without a value is a fault, too, and not 0

The change for whole numbers left out routing.other_domain_ms, the one number of the own settings that may be a fraction: without a value it meant 0 ms. Evidence: the test of the reader fails without the change.

--- a/src/node/settings/SettingsReader.test.ts
+++ b/src/node/settings/SettingsReader.test.ts
@@ -26,6 +26,8 @@
         "max_body_byte = 5",
         "max_headers = many",
         "stop_grace_ms =",
+        "[routing]",
+        "other_domain_ms =",
     ].join("\n");
     const { faults } = parseSettings("x.ini", text, {});
     const lines = faults.map(fault => `${fault.file}:${fault.line} ${fault.field}: ${fault.message}`).sort();
@@ -33,6 +35,7 @@
         "x.ini:11 limits.max_body_byte: unknown key; did you mean \"max_body_bytes\"?",
         "x.ini:12 limits.max_headers: must be a number",
         "x.ini:13 limits.stop_grace_ms: must be a number",
+        "x.ini:15 routing.other_domain_ms: must be a number",
         "x.ini:2 instance.id: must be 1 to 64 letters, digits, dots, dashes",
         "x.ini:7 doors.admin: must be IP:PORT, such as 127.0.0.1:8080",
     ]);
--- a/src/node/settings/SettingsSchema.ts
+++ b/src/node/settings/SettingsSchema.ts
@@ -16,10 +16,12 @@
 export type Address = z.output<typeof address>;
 
 const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, "must be 1 to 64 letters, digits, dots, dashes");
-/** A whole number from `min` to `max`. An empty value is no number, though `Number` takes it for 0. */
+/** An empty value is no number, though `Number` takes it for 0. */
+const emptyToNaN = (text: unknown): unknown => text === "" ? NaN : text;
+/** A whole number from `min` to `max`. */
 const count = (min: number, defaultValue: number, max = Number.MAX_SAFE_INTEGER) =>
     z.preprocess(
-        text => text === "" ? NaN : text,
+        emptyToNaN,
         z.coerce.number("must be a number").int("must be a whole number").min(min).max(max).default(defaultValue),
     );
 const flag = z.union([z.boolean(), z.enum(["true", "false"]).transform(text => text === "true")]);
@@ -71,7 +73,7 @@
             .describe("Longest time that a planned stop waits for requests in flight, in ms."),
     }).prefault({}),
     routing: z.strictObject({
-        other_domain_ms: z.coerce.number().min(0).default(2)
+        other_domain_ms: z.preprocess(emptyToNaN, z.coerce.number("must be a number").min(0).default(2))
             .describe("Added latency of a request to another failure domain, in ms."),
         prompt_tokens_per_s: count(1, 5000).describe(
             "Rate at which an engine processes uncached prompt tokens, in tokens per second.",
