The plan of voters has one case for removing and one for adding; commands that set the voters are made in one place

The warning of a recovering voter said that its disk holds no log, which is wrong after a restart in the middle of the refill. Behaviour is unchanged but for that text.

--- a/src/cli/RecoverCommand.ts
+++ b/src/cli/RecoverCommand.ts
@@ -2,7 +2,7 @@
  * `skylarktide control recover`: recovery after the permanent loss of a majority of the voters. It makes the log of a
  * stopped instance the only one and that instance the only voter, and requires confirmation.
  */
-import { VOTERS_COMMAND } from "../common/control/EntryLog.ts";
+import { votersCommand } from "../common/control/EntryLog.ts";
 import { createLog } from "../node/log/Log.ts";
 import { readSettings } from "../node/settings/SettingsReader.ts";
 import { DataFolder } from "../node/storage/DataFolder.ts";
@@ -42,7 +42,7 @@
         const term = Math.max(stored.term, lastTerm) + 1;
         await store.saveVote(term, id);
         await store.saveIntegrity({});
-        await store.append([{ index: lastIndex + 1, term, command: { kind: VOTERS_COMMAND, voters: [id] } }]);
+        await store.append([{ index: lastIndex + 1, term, command: votersCommand([id]) }]);
         print(`${id} is now the only voter; start it, then add the others with "skylarktide control add"`);
     }
     else {
--- a/src/common/gateway/VoterPlan.ts
+++ b/src/common/gateway/VoterPlan.ts
@@ -28,20 +28,14 @@
     { self, reachable, lost }: ControlReachability,
 ): string[] | undefined => {
     const [added] = reachable.filter(id => !voters.includes(id)).sort();
-    const lostVoter = voters.find(id => lost.includes(id));
-    const hasSpareVoter = voters.length % 2 === 0 && voters.length > MIN_VOTERS;
-    if (lostVoter !== undefined && hasSpareVoter) {
-        return voters.filter(id => id !== lostVoter);
-    }
-    if (lostVoter !== undefined) {
-        return added === undefined ? undefined : [...voters, added];
-    }
     const available = new Set([...voters, ...reachable]).size;
     const target = Math.min(MAX_VOTERS, available % 2 === 0 ? available - 1 : available);
-    if (voters.length > target && hasSpareVoter) {
-        // The voter that was to be replaced has returned.
-        const surplus = voters.findLast(id => id !== self);
+    const lostVoter = voters.find(id => lost.includes(id));
+    // If there are too many and none is lost, the voter that was to be replaced has returned.
+    const surplus = lostVoter ?? (voters.length > target ? voters.findLast(id => id !== self) : undefined);
+    if (surplus !== undefined && voters.length % 2 === 0 && voters.length > MIN_VOTERS) {
         return voters.filter(id => id !== surplus);
     }
-    return voters.length < target && added !== undefined ? [...voters, added] : undefined;
+    const needsVoter = lostVoter !== undefined || voters.length < target;
+    return needsVoter && added !== undefined ? [...voters, added] : undefined;
 };
--- a/src/common/gateway/VoterReconciler.ts
+++ b/src/common/gateway/VoterReconciler.ts
@@ -3,7 +3,7 @@
  * they are needed, and replace voters that are lost permanently.
  */
 import { type Committed } from "../control/ControlTypes.ts";
-import { VOTERS_COMMAND } from "../control/EntryLog.ts";
+import { votersCommand } from "../control/EntryLog.ts";
 import { type Command } from "../control/LogStore.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type Clock, repeat } from "../time/Clock.ts";
@@ -66,7 +66,7 @@
                 return;
             }
             onChange(from, to);
-            await propose({ kind: VOTERS_COMMAND, voters: to });
+            await propose(votersCommand(to));
         }
     }
 }
--- a/src/node/admin/AdminActions.ts
+++ b/src/node/admin/AdminActions.ts
@@ -5,7 +5,7 @@
 import { BillingLedger } from "../../common/billing/BillingLedger.ts";
 import { type Change, type DrainTarget } from "../../common/configuration/Change.ts";
 import { type ChangeOutcome } from "../../common/configuration/Configuration.ts";
-import { VOTERS_COMMAND } from "../../common/control/EntryLog.ts";
+import { votersCommand } from "../../common/control/EntryLog.ts";
 import { type Command } from "../../common/control/LogStore.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
 import { type InstanceCore } from "../../common/instance/InstanceCore.ts";
@@ -103,7 +103,7 @@
         controlVoters: async ({ change, instance }) => {
             const voters = await currentVoters(deps);
             const next = change === "add" ? [...voters, instance] : voters.filter(voter => voter !== instance);
-            const { index } = await core.client.submit({ kind: VOTERS_COMMAND, voters: next }, CHANGE_TIMEOUT_MS);
+            const { index } = await core.client.submit(votersCommand(next), CHANGE_TIMEOUT_MS);
             return { voters: next, index };
         },
         billing: ({ from, to }) => exportBills(deps, from, to),
--- a/src/node/gateway/ControlLogMonitor.ts
+++ b/src/node/gateway/ControlLogMonitor.ts
@@ -55,7 +55,10 @@
         const { kind, ...fields } = event;
         switch (kind) {
             case "recovering":
-                log.warn("The disk holds no control log: this voter votes again after it is readmitted.", fields);
+                log.warn(
+                    "The disk may lack what this voter has confirmed: it votes again after it is readmitted.",
+                    fields,
+                );
                 break;
             case "recovered":
                 log.info("This voter is readmitted.", fields);
