Requests to a cold upstream that counted as warm are logged and counted

Nothing told what an instance believed of a cold upstream when it sent a request there: the log had a line only where it took the upstream for cold, so a flood by instances that took it for warm left no trace, and a jumped clock could not be told from late news.

- Each request to an upstream that counts as cold is logged with how much longer it counts so, and the age of the record.
- The next check-in of an upstream shows since when it is cold.
Requests sent after that moment by the belief that it is warm are logged and counted: skylarktide_gateway_cold_upstream_misjudged_requests_total, by service.

What an instance knows of cold upstreams moves from UpstreamSelector to ColdUpstreams. ColdStart.test.ts now counts all requests that the upstream gets, not only those of instances that take it for cold; it holds.

--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -4,6 +4,7 @@
 import { SeededRandom } from "../../../addons/fakes/SeededRandom.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { ManualClock } from "../time/ManualClock.ts";
+import { ColdUpstreams } from "./ColdUpstreams.ts";
 import { FleetFollower } from "./FleetFollower.ts";
 import { FleetPublisher } from "./FleetPublisher.ts";
 import { emptyFleet } from "./FleetState.ts";
@@ -54,8 +55,10 @@
 /** Entry and control instances, all of whose callers want to send as much as they may to one upstream. */
 class ColdStartSimulation extends DisposableOwner {
     public readonly clock = new ManualClock(1000);
-    /** Monotonic times at which the upstream got requests, in ms. */
+    /** Monotonic times at which the upstream got requests, whatever their instance believed of it, in ms. */
     public sentAt: number[] = [];
+    /** Requests of which it has turned out that their instance took the cold upstream for warm. */
+    public misjudged = 0;
     /** Entry instances that reach no control instance. */
     public readonly cut = new Set<string>();
     private readonly hub = new MemoryHub(
@@ -115,13 +118,22 @@
             fleet: () => emptyFleet,
             self: id,
             entryCount: () => follower.entryCount,
-            entries: () => follower.entries,
             hasQuorumContact: () => true,
-            coldTolerance: TOLERANCE,
+            cold: new ColdUpstreams({
+                clock,
+                directory,
+                self: id,
+                entries: () => follower.entries,
+                tolerance: TOLERANCE,
+                coldStartMs: () => COLD_MS,
+                onSend: () => undefined,
+                onMisjudged: ({ requests }) => {
+                    this.misjudged += requests;
+                },
+            }),
             isLimitUsedUp: () => false,
             isLeaving: () => false,
             pauses: new UpstreamPauses(clock, id),
-            onColdSend: () => this.sentAt.push(clock.monotonic()),
         });
         this.entries.set(id, { network, follower, selector });
     }
@@ -182,13 +194,17 @@
             this.sendHeartbeat();
             for (const { selector, follower } of this.entries.values()) {
                 if (follower.confirmationAgeMs < LEASE_MS) {
-                    selector.select({
+                    const selection = selector.select({
                         service,
                         rule: { isAllowed: () => true, isPreferred: () => true },
                         prompt: undefined,
                         key: `${this.requests++}`,
                         tried: new Set(),
                     });
+                    // An upstream refuses a request that names another one (421).
+                    if (selection !== undefined && selection.record.id === this.upstream?.id) {
+                        this.sentAt.push(this.clock.monotonic());
+                    }
                 }
             }
             await this.clock.advanceSettled(STEP_MS, settle);
--- /dev/null
+++ b/src/common/gateway/ColdUpstreams.test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "../time/ManualClock.ts";
+import { ColdUpstreams, type MisjudgedSends } from "./ColdUpstreams.ts";
+import { UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
+
+const COLD_MS = 3000;
+
+const warm: UpstreamRecord = {
+    id: "u",
+    start: 1,
+    seq: 1,
+    service: "s",
+    host: "10.0.0.1",
+    port: 80,
+    domain: "here",
+    version: "v1",
+    slots: 8,
+    state: "ready",
+    coldMs: 0,
+};
+
+// Without this, an instance that takes a cold upstream for warm leaves no trace.
+test("ColdUpstreams: counts the requests that went to an upstream while it was cold and counted as warm", () => {
+    const clock = new ManualClock(100_000);
+    const directory = new UpstreamDirectory(clock);
+    const found: MisjudgedSends[] = [];
+    const cold = new ColdUpstreams({
+        clock,
+        directory,
+        self: "e:1",
+        entries: () => ["e:1"],
+        tolerance: { excess: 1.5, slack: 5 },
+        coldStartMs: () => COLD_MS,
+        onSend: () => undefined,
+        onMisjudged: sends => found.push(sends),
+    });
+    const send = (): void => cold.recordSend(directory.get("u") as ReceivedRecord);
+    directory.merge(warm, 0);
+    send();
+    clock.advance(1000);
+    // Here it turns cold.
+    clock.advance(40);
+    send();
+    clock.advance(60);
+    send();
+    clock.advance(100);
+    const news = { ...warm, seq: 2, coldMs: COLD_MS - 180 };
+    directory.merge(news, 20);
+    assert.deepEqual(found, [{ record: news, requests: 2, firstAgeMs: 160 }]);
+    directory.merge({ ...news, seq: 3, coldMs: COLD_MS - 200 }, 0);
+    assert.equal(found.length, 1, "each request is counted once");
+    cold.dispose();
+});
--- /dev/null
+++ b/src/common/gateway/ColdUpstreams.ts
@@ -0,0 +1,130 @@
+/**
+ * Cold upstreams, as this instance knows them: whether one is cold, and when it may get a request. An upstream has just
+ * started or turned cold again for a while before an instance learns of it, and instances learn at different times. The
+ * requests that were sent to it meanwhile are counted when the news comes: the limit over all instances holds only as
+ * long as they believe the same.
+ */
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { type Clock } from "../time/Clock.ts";
+import { ColdStartLimiter, type ColdStartRate } from "./ColdStartLimiter.ts";
+import { type Service } from "./GatewayConfig.ts";
+import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { processName, type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
+
+/** How long requests to warm upstreams are remembered, in ms; longer than an upstream stays cold. */
+const MEMORY_MS = 10_000;
+/** Most requests that are remembered for one upstream. */
+const MAX_REMEMBERED = 32;
+
+/** Tolerance above the declared rate of cold upstreams; see `ColdStartRate`. */
+export type ColdStartTolerance = Omit<ColdStartRate, "perSecond">;
+
+/** A request to a cold upstream. */
+export interface ColdSend {
+    readonly record: UpstreamRecord;
+    /** Time since this instance's previous request to it, in ms; undefined for the first. */
+    readonly sinceLastMs: number | undefined;
+    /** How much longer it stays cold, as far as this instance knows, in ms. */
+    readonly coldLeftMs: number;
+    /** Time since the upstream sent its newest record, in ms. */
+    readonly recordAgeMs: number;
+}
+
+/** Requests that an upstream got while it was cold and counted as warm here. */
+export interface MisjudgedSends {
+    readonly record: UpstreamRecord;
+    readonly requests: number;
+    /** Time since the first of them, in ms. */
+    readonly firstAgeMs: number;
+}
+
+/** Dependencies of `ColdUpstreams`. */
+export interface ColdUpstreamsDependencies {
+    readonly clock: Clock;
+    readonly directory: UpstreamDirectory;
+    /** Id of this instance. */
+    readonly self: string;
+    /** Ids of the entry instances, which share the rate of a cold upstream; empty while they may not know each other. */
+    readonly entries: () => readonly string[];
+    readonly tolerance: ColdStartTolerance;
+    /** How long an upstream of the service stays cold after a start, in ms; 0 if that is not known. */
+    readonly coldStartMs: (service: string) => number;
+    /** Called for each request to an upstream that counts as cold. */
+    readonly onSend: (send: ColdSend) => void;
+    /** Called when a record shows that requests went to a cold upstream that counted as warm. */
+    readonly onMisjudged: (sends: MisjudgedSends) => void;
+}
+
+/** What this instance knows of cold upstreams, and does about them. */
+export class ColdUpstreams extends DisposableOwner {
+    private readonly deps: ColdUpstreamsDependencies;
+    private readonly limiter: ColdStartLimiter;
+    /** Monotonic times of the newest requests to upstreams that counted as warm, in ms, by upstream id. */
+    private readonly warmSends = new Map<string, number[]>();
+
+    public constructor(deps: ColdUpstreamsDependencies) {
+        super();
+        this.deps = deps;
+        this.limiter = new ColdStartLimiter(deps.clock, deps.self);
+        this.register(deps.directory.onChanged(({ record: { id, coldMs } }) => {
+            const received = coldMs > 0 ? deps.directory.get(id) : undefined;
+            if (received !== undefined) {
+                this.checkSends(received);
+            }
+        }));
+    }
+
+    /** Whether the upstream may get a request now, as far as it is cold. */
+    public maySend(service: Service, received: ReceivedRecord): boolean {
+        const name = processName(received.record);
+        if (this.coldLeftMs(received) <= 0 || service.coldPerSecond <= 0) {
+            this.limiter.forget(name);
+            return true;
+        }
+        const rate = { perSecond: service.coldPerSecond, ...this.deps.tolerance };
+        return this.limiter.maySend(name, rate, this.deps.entries());
+    }
+
+    /** Must be called for each request that is sent. */
+    public recordSend(received: ReceivedRecord): void {
+        const { record, receivedAt } = received;
+        const now = this.deps.clock.monotonic();
+        const coldLeftMs = this.coldLeftMs(received);
+        if (coldLeftMs > 0) {
+            const sinceLastMs = this.limiter.recordSend(processName(record));
+            this.deps.onSend({ record, sinceLastMs, coldLeftMs, recordAgeMs: now - receivedAt });
+            return;
+        }
+        const times = (this.warmSends.get(record.id) ?? []).filter(at => now - at < MEMORY_MS).slice(
+            1 - MAX_REMEMBERED,
+        );
+        this.warmSends.set(record.id, [...times, now]);
+    }
+
+    /** Discards what is kept about an upstream process that has ended. */
+    public forget(name: string): void {
+        this.limiter.forget(name);
+        const now = this.deps.clock.monotonic();
+        for (const [id, times] of this.warmSends) {
+            if (now - (times.at(-1) ?? -Infinity) >= MEMORY_MS) {
+                this.warmSends.delete(id);
+            }
+        }
+    }
+
+    /** Finds the requests that were sent while the upstream was cold already, by its newest record. */
+    private checkSends({ record, receivedAt }: ReceivedRecord): void {
+        const { clock, coldStartMs, onMisjudged } = this.deps;
+        const coldSince = receivedAt + record.coldMs - coldStartMs(record.service);
+        const times = this.warmSends.get(record.id)?.filter(at => at > coldSince) ?? [];
+        const [first] = times;
+        if (first !== undefined) {
+            this.warmSends.delete(record.id);
+            onMisjudged({ record, requests: times.length, firstAgeMs: clock.monotonic() - first });
+        }
+    }
+
+    private coldLeftMs({ record, receivedAt }: ReceivedRecord): number {
+        return record.coldMs > 0 ? receivedAt + record.coldMs - this.deps.clock.monotonic() : 0;
+    }
+}
--- a/src/common/gateway/PacedPlacement.test.ts
+++ b/src/common/gateway/PacedPlacement.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { coldUpstreamsOf } from "../../../addons/fakes/ColdUpstreamsOf.ts";
 import { SeededRandom } from "../../../addons/fakes/SeededRandom.ts";
 import { ManualClock } from "../time/ManualClock.ts";
 import { AttemptLoad } from "./AttemptLoad.ts";
@@ -153,14 +154,12 @@
             fleet: () => emptyFleet,
             self: `e:${index}`,
             entryCount: () => ENTRIES,
-            entries: () => [],
             hasQuorumContact: () => true,
-            coldTolerance: { excess: 1.5, slack: 5 },
+            cold: coldUpstreamsOf(clock, directory, `e:${index}`),
             isLimitUsedUp: () => false,
             isLeaving: () => false,
             pauses: new UpstreamPauses(clock, `e:${index}`),
             hasIdleConnection: name => this.keptOf(name).length > 0,
-            onColdSend: () => undefined,
         });
     }
 
--- a/src/common/gateway/UpstreamIndex.test.ts
+++ b/src/common/gateway/UpstreamIndex.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { coldUpstreamsOf } from "../../../addons/fakes/ColdUpstreamsOf.ts";
 import { ManualClock } from "../time/ManualClock.ts";
 import { AttemptLoad } from "./AttemptLoad.ts";
 import { emptyFleet } from "./FleetState.ts";
@@ -93,14 +94,12 @@
         fleet: () => emptyFleet,
         self,
         entryCount: () => ENTRIES,
-        entries: () => [],
         hasQuorumContact: () => true,
-        coldTolerance: { excess: 1.5, slack: 5 },
+        cold: coldUpstreamsOf(clock, directory, self),
         isLimitUsedUp: () => false,
         isLeaving: () => false,
         pauses: new UpstreamPauses(clock, self),
         hasIdleConnection: () => false,
-        onColdSend: () => undefined,
     });
     return { stats, selector };
 };
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -4,7 +4,7 @@
  */
 import { hash32 } from "../routing/Hash.ts";
 import { type Clock } from "../time/Clock.ts";
-import { ColdStartLimiter } from "./ColdStartLimiter.ts";
+import { type ColdUpstreams } from "./ColdUpstreams.ts";
 import { type Prompt, sharedPrefixOf } from "./ExchangeCodec.ts";
 import { type Fleet } from "./FleetState.ts";
 import { connectionsPerInstance, type Service } from "./GatewayConfig.ts";
@@ -46,12 +46,6 @@
 /** Expected fraction of a prompt's shared prefix that is cached, by the rank of the upstream for the prefix. */
 const CACHED_FRACTIONS = [1, 0.4] as const;
 
-/** Tolerance above the declared rate of cold upstreams; see `ColdStartRate`. */
-export interface ColdStartTolerance {
-    readonly excess: number;
-    readonly slack: number;
-}
-
 /** Properties of a request that determine which upstreams may take it. */
 export interface SelectionRequest {
     readonly service: Service;
@@ -99,13 +93,11 @@
     readonly domain: string;
     readonly fleet: () => Fleet;
     readonly entryCount: () => number;
-    /** Id of this instance among `entries`. */
+    /** Id of this instance. */
     readonly self: string;
-    /** Ids of the entry instances, which share the rate of a cold upstream; empty while they may not know each other. */
-    readonly entries: () => readonly string[];
     /** Whether a control majority is reachable. If not, other failure domains may be unreachable as well. */
     readonly hasQuorumContact: () => boolean;
-    readonly coldTolerance: ColdStartTolerance;
+    readonly cold: ColdUpstreams;
     /** Whether the requests that an upstream process takes, by its own limit, are known to be used up. */
     readonly isLimitUsedUp: (target: PermitTarget) => boolean;
     /** Whether an upstream process is known to leave. */
@@ -113,17 +105,11 @@
     readonly pauses: UpstreamPauses;
     /** Whether a connection to an upstream process is open and idle. */
     readonly hasIdleConnection?: (upstream: string) => boolean;
-    /**
-     * Called for each request to a cold upstream; `sinceLastMs` is the time since this instance's previous one to it, in
-     * ms, and undefined for the first.
-     */
-    readonly onColdSend: (record: UpstreamRecord, sinceLastMs: number | undefined) => void;
 }
 
 /** Selects upstreams. */
 export class UpstreamSelector {
     private readonly deps: UpstreamSelectorDependencies;
-    private readonly cold: ColdStartLimiter;
     private readonly index: UpstreamIndex;
     private readonly mixes = new Map<string, PromptMix>();
     private readonly connectionBudget = new NewConnectionBudget();
@@ -132,7 +118,6 @@
 
     public constructor(deps: UpstreamSelectorDependencies) {
         this.deps = deps;
-        this.cold = new ColdStartLimiter(deps.clock, deps.self);
         this.index = new UpstreamIndex(deps.directory, deps.self, deps.domain);
     }
 
@@ -199,8 +184,8 @@
     public take({ name, record }: Selection): void {
         this.deps.pauses.recordSend(name);
         const received = this.deps.directory.get(record.id);
-        if (received !== undefined && this.isCold(received)) {
-            this.deps.onColdSend(record, this.cold.recordSend(name));
+        if (received !== undefined) {
+            this.deps.cold.recordSend(received);
         }
         this.recent.delete(name);
         this.recent.add(name);
@@ -235,15 +220,13 @@
         }
         const { record, name, stats } = chosen;
         this.deps.pauses.recordSend(name);
-        if (this.isCold(chosen)) {
-            this.deps.onColdSend(record, this.cold.recordSend(name));
-        }
+        this.deps.cold.recordSend(chosen);
         return { record, name, stats };
     }
 
     /** Discards what is kept about an upstream process that has ended. */
     public forget(name: string): void {
-        this.cold.forget(name);
+        this.deps.cold.forget(name);
         this.recent.delete(name);
     }
 
@@ -290,11 +273,11 @@
         upstream: UsableUpstream,
         isLimitUsedUp: UpstreamSelectorDependencies["isLimitUsedUp"],
     ): boolean {
-        const { upstreamStats, isLeaving, pauses } = this.deps;
+        const { upstreamStats, isLeaving, pauses, cold } = this.deps;
         const { record, name, stats } = upstream;
         return !upstreamStats.isPaused(stats) && pauses.remainingMs(name) <= 0 && !isLeaving(name)
             && !this.isFull(req, record, stats) && !isLimitUsedUp({ name, service: record.service })
-            && this.maySendIfCold(req.service, upstream, name);
+            && cold.maySend(req.service, upstream);
     }
 
     /** The subset, upstreams with an idle connection, and a few that the hash of the request determines. */
@@ -351,19 +334,6 @@
         return stats.inFlight >= connections || isQueueLong;
     }
 
-    private maySendIfCold(service: Service, received: ReceivedRecord, name: string): boolean {
-        if (!this.isCold(received) || service.coldPerSecond <= 0) {
-            this.cold.forget(name);
-            return true;
-        }
-        const rate = { perSecond: service.coldPerSecond, ...this.deps.coldTolerance };
-        return this.cold.maySend(name, rate, this.deps.entries());
-    }
-
-    private isCold({ record, receivedAt }: ReceivedRecord): boolean {
-        return record.coldMs > 0 && this.deps.clock.monotonic() < receivedAt + record.coldMs;
-    }
-
     private toPaced(
         upstream: UsableUpstream,
         { service }: SelectionRequest,
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -28,6 +28,7 @@
 import { reportBrokenRun } from "./BrokenRuns.ts";
 import { QUARANTINED } from "./Call.ts";
 import { CallerHandler } from "./CallerHandler.ts";
+import { createColdUpstreams } from "./ColdUpstreamReports.ts";
 import { EngineMemory } from "./EngineMemory.ts";
 import { createConnections, createRelayServer } from "./EntryConnections.ts";
 import { type GatewayMetrics } from "./GatewayMetrics.ts";
@@ -281,27 +282,33 @@
     }
 
     private createSelector(): UpstreamSelector {
-        const { clock, settings, log, network } = this.deps;
+        const { clock, settings, log, metrics, network } = this.deps;
+        const { directory } = this;
         return new UpstreamSelector({
             clock,
             self: network.self,
-            entries: () => this.follower.entries,
-            directory: this.directory,
+            directory,
             upstreamStats: this.upstreamStats,
             domain: settings.instance.domain,
             fleet: () => this.follower.fleet,
             entryCount: () => this.follower.entryCount,
             hasQuorumContact: () => this.hasQuorumContact,
-            coldTolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
+            cold: this.register(
+                createColdUpstreams({
+                    clock,
+                    directory,
+                    self: network.self,
+                    entries: () => this.follower.entries,
+                    tolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
+                    coldStartMs: service => this.routeTable?.findService(service)?.coldStartMs ?? 0,
+                    log,
+                    metrics,
+                }),
+            ),
             isLimitUsedUp: target => this.permits.areUsedUp(target),
             isLeaving: upstream => this.notices.statements.isLeaving(upstream),
             pauses: this.notices.pauses,
             hasIdleConnection: upstream => this.connections.hasIdleConnection(upstream),
-            onColdSend: ({ id, start }, sinceLastMs) => {
-                const pause = sinceLastMs === undefined ? {} : { sinceLastMs: Math.round(sinceLastMs) };
-                const entries = this.rosterIds.length;
-                log.info("A request goes to a cold upstream.", { upstream: id, start, ...pause, entries });
-            },
         });
     }
 
--- a/src/node/gateway/GatewayMetrics.ts
+++ b/src/node/gateway/GatewayMetrics.ts
@@ -23,6 +23,7 @@
     private readonly escalations: Counter;
     private readonly slowCallers: Counter;
     private readonly refusals: Counter;
+    private readonly misjudged: Counter;
 
     public constructor() {
         const registers = [this.registry];
@@ -75,6 +76,17 @@
             labelNames: ["service", "reason"],
             registers,
         });
+        this.misjudged = new Counter({
+            name: "skylarktide_gateway_cold_upstream_misjudged_requests_total",
+            help: "Requests to cold upstreams that counted as warm when they were sent, by service.",
+            labelNames: ["service"],
+            registers,
+        });
+    }
+
+    /** Counts requests that went to a cold upstream which counted as warm. */
+    public countMisjudged(service: string, requests: number): void {
+        this.misjudged.inc({ service }, requests);
     }
 
     /** Counts a request that the queue of its service has refused. */
