Upstreams of a domain count as cold after an evacuation until their next check-in

Callers could see a cold engine flooded, and crashed, right after an evacuation was taken back.

Cause: all instances learn of the end of the evacuation within milliseconds, but that an engine has turned cold only by its next check-in, and took it for warm by the record of before. Its engines have no other work, so they are the first choice of all.

Change: when a domain is drained no more, the instances count its upstreams as cold until a later record of each arrives, at most for the time of a cold start.

--- a/addons/fakes/ColdStartSimulation.ts
+++ b/addons/fakes/ColdStartSimulation.ts
@@ -181,6 +181,7 @@
             isLeaving: () => false,
             pauses: new UpstreamPauses(clock, id),
         });
+        follower.onFleetChanged(({ drainedDomains }) => cold.updateDrainedDomains(drainedDomains));
         this.entries.set(id, { network, follower, selector, upstreamStats, cold });
     }
 
--- a/src/common/gateway/ColdUpstreams.ts
+++ b/src/common/gateway/ColdUpstreams.ts
@@ -2,7 +2,8 @@
  * Cold upstreams, as this instance knows them: whether one is cold, and when it may get a request. An upstream has just
  * started or turned cold again for a while before an instance learns of it, and instances learn at different times. The
  * requests that were sent to it meanwhile are counted when the news comes: the limit over all instances holds only as
- * long as they believe the same.
+ * long as they believe the same. Where an instance has reason to think that an upstream has turned cold, it therefore
+ * counts it as cold until the upstream says otherwise.
  */
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { type Clock } from "../time/Clock.ts";
@@ -61,6 +62,9 @@
     private readonly limiter: ColdStartLimiter;
     /** Monotonic times of the newest requests to upstreams that counted as warm, in ms, by upstream id. */
     private readonly warmSends = new Map<string, number[]>();
+    /** Monotonic times of the newest signs that an upstream may have turned cold, in ms, by upstream id. */
+    private readonly doubtedAt = new Map<string, number>();
+    private drainedDomains: readonly string[] = [];
 
     public constructor(deps: ColdUpstreamsDependencies) {
         super();
@@ -77,7 +81,7 @@
     /** Whether the upstream may get a request now, as far as it is cold. */
     public maySend(service: Service, received: ReceivedRecord): boolean {
         const name = processName(received.record);
-        if (this.coldLeftMs(received) <= 0 || service.coldPerSecond <= 0) {
+        if (this.coldLeftMs(received, service.coldStartMs) <= 0 || service.coldPerSecond <= 0) {
             this.limiter.forget(name);
             return true;
         }
@@ -89,16 +93,28 @@
     public recordSend(received: ReceivedRecord): void {
         const { record, receivedAt } = received;
         const now = this.deps.clock.monotonic();
-        const coldLeftMs = this.coldLeftMs(received);
+        const coldLeftMs = this.coldLeftMs(received, this.deps.coldStartMs(record.service));
         if (coldLeftMs > 0) {
             const sinceLastMs = this.limiter.recordSend(processName(record));
             this.deps.onSend({ record, sinceLastMs, coldLeftMs, recordAgeMs: now - receivedAt });
             return;
         }
-        const times = (this.warmSends.get(record.id) ?? []).filter(at => now - at < MEMORY_MS).slice(
-            1 - MAX_REMEMBERED,
-        );
-        this.warmSends.set(record.id, [...times, now]);
+        const recent = this.warmSends.get(record.id)?.filter(at => now - at < MEMORY_MS) ?? [];
+        this.warmSends.set(record.id, [...recent.slice(1 - MAX_REMEMBERED), now]);
+    }
+
+    /**
+     * Must be called when the drained domains have changed. The upstreams of a domain that is in service again may have
+     * turned cold meanwhile: all instances learn of the end of the drain at once, but of each upstream by its next check-in.
+     */
+    public updateDrainedDomains(domains: readonly string[]): void {
+        const returned = this.drainedDomains.filter(domain => !domains.includes(domain));
+        this.drainedDomains = domains;
+        for (const { record: { id, domain } } of this.deps.directory.all()) {
+            if (returned.includes(domain)) {
+                this.doubt(id);
+            }
+        }
     }
 
     /** Discards what is kept about an upstream process that has ended. */
@@ -110,6 +126,11 @@
                 this.warmSends.delete(id);
             }
         }
+        for (const [id, at] of this.doubtedAt) {
+            if (now - at >= MEMORY_MS) {
+                this.doubtedAt.delete(id);
+            }
+        }
     }
 
     /** Finds the requests that were sent while the upstream was cold already, by its newest record. */
@@ -124,7 +145,14 @@
         }
     }
 
-    private coldLeftMs({ record, receivedAt }: ReceivedRecord): number {
-        return record.coldMs > 0 ? receivedAt + record.coldMs - this.deps.clock.monotonic() : 0;
+    /** Counts the upstream as cold from now on, until it sends another record, but no longer than after a start. */
+    private doubt(id: string): void {
+        this.doubtedAt.set(id, this.deps.clock.monotonic());
+    }
+
+    private coldLeftMs({ record, receivedAt }: ReceivedRecord, coldStartMs: number): number {
+        const doubtedAt = this.doubtedAt.get(record.id) ?? -Infinity;
+        const doubtedUntil = doubtedAt > receivedAt ? doubtedAt + coldStartMs : -Infinity;
+        return Math.max(doubtedUntil, receivedAt + record.coldMs) - this.deps.clock.monotonic();
     }
 }
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -3,6 +3,7 @@
  * upstreams.
  */
 import { type CallKeys } from "../../common/gateway/CallKeys.ts";
+import { type ColdUpstreams } from "../../common/gateway/ColdUpstreams.ts";
 import { CrashObserver } from "../../common/gateway/CrashObserver.ts";
 import { type ExchangeCodec, type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
 import { FleetFollower } from "../../common/gateway/FleetFollower.ts";
@@ -80,6 +81,7 @@
     private readonly upstreamStats: UpstreamStatistics;
     private readonly follower: FleetFollower;
     private readonly connections: UpstreamTransport;
+    private readonly cold: ColdUpstreams;
     private readonly selector: UpstreamSelector;
     private readonly outcomes = new OutcomeCounters();
     private readonly sessions: SessionVersions;
@@ -155,6 +157,14 @@
             }),
         );
         deps.metrics.addGauges(this.engineMemory.gauges);
+        this.cold = this.register(
+            createColdUpstreams({
+                ...deps,
+                directory: this.directory,
+                entries: () => this.follower.entries,
+                findService: name => this.routeTable?.findService(name),
+            }),
+        );
         this.selector = this.createSelector();
         const requestLog = new RequestLog(
             clock,
@@ -282,29 +292,17 @@
     }
 
     private createSelector(): UpstreamSelector {
-        const { clock, settings, log, metrics, network } = this.deps;
-        const { directory } = this;
+        const { clock, settings, network } = this.deps;
         return new UpstreamSelector({
             clock,
             self: network.self,
-            directory,
+            directory: this.directory,
             upstreamStats: this.upstreamStats,
             domain: settings.instance.domain,
             fleet: () => this.follower.fleet,
             entryCount: () => this.follower.entryCount,
             hasQuorumContact: () => this.hasQuorumContact,
-            cold: this.register(
-                createColdUpstreams({
-                    clock,
-                    directory,
-                    self: network.self,
-                    entries: () => this.follower.entries,
-                    tolerance: { excess: settings.bounds.cold_excess, slack: settings.bounds.cold_slack },
-                    coldStartMs: service => this.routeTable?.findService(service)?.coldStartMs ?? 0,
-                    log,
-                    metrics,
-                }),
-            ),
+            cold: this.cold,
             isLimitUsedUp: target => this.permits.areUsedUp(target),
             isLeaving: upstream => this.notices.statements.isLeaving(upstream),
             pauses: this.notices.pauses,
@@ -436,6 +434,7 @@
                 this.callerServer?.setTimeouts(this.routeTable.config.limits);
             }
         }
+        this.cold.updateDrainedDomains(drainedDomains);
         log.info("A revision of the fleet is in force here.", { revision, version, rollouts, drainedDomains });
     }
 
