News that an upstream turns cold once more is urgent

An upstream may turn cold again at any moment. Control instances passed this on at once only if the upstream had said meanwhile that it was warm. Otherwise the record waited with the heartbeats for 0.5 to 1 s, while the instances took the upstream for warm by its first cold time. A record whose cold time ends later than the last one said is urgent now. The test gave [false, false, false] before.

--- a/src/common/gateway/UpstreamDirectory.test.ts
+++ b/src/common/gateway/UpstreamDirectory.test.ts
@@ -107,3 +107,18 @@
     directory.merge(record({ seq: 3, state: "draining" }), 0, true);
     assert.equal(directory.changedSince(version).records.length, 1);
 });
+
+// FAILBACK: the news waited for up to a second with the heartbeats, while instances took the upstream for warm.
+test("UpstreamDirectory: that an upstream turns cold once more before it has said that it is warm is urgent", () => {
+    const { clock, directory } = create();
+    const urgent: boolean[] = [];
+    directory.merge(record({ seq: 1, coldMs: 3000 }), 0);
+    directory.onChanged(change => urgent.push(change.isUrgent));
+    clock.advance(1200);
+    directory.merge(record({ seq: 2, coldMs: 1800 }), 0);
+    clock.advance(1200);
+    directory.merge(record({ seq: 3, coldMs: 700 }), 20);
+    clock.advance(900);
+    directory.merge(record({ seq: 4, coldMs: 2900 }), 0);
+    assert.deepEqual(urgent, [false, false, true]);
+});
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -9,6 +9,9 @@
 /** How long an upstream is kept without a new record, in ms. Requests to it show earlier whether it still works. */
 const EVICT_AFTER_MS = 30_000;
 
+/** By how much the ends of one cold time differ between records of an upstream, as they take time to arrive, in ms. */
+const COLD_TIME_JITTER_MS = 250;
+
 interface DirectoryEntry extends ReceivedRecord {
     /** Number of the newest change, including heartbeats. */
     readonly lastChange: number;
@@ -102,11 +105,11 @@
             const endedUnannounced = other.record.state === "ready";
             this.put({ ...other.record, state: "gone", endedUnannounced }, other.receivedAt, true);
         }
+        const receivedAt = this.clock.monotonic() - ageMs;
         const isUrgent = current === undefined || current.record.state !== record.state
-            || current.record.start !== record.start || isColdAgain(record, current.record);
+            || current.record.start !== record.start || isColdAgain({ record, receivedAt }, current);
         if (current !== undefined && !isUrgent && isSameContent(record, current.record)) {
             const lastChange = isRelayed ? current.lastChange : ++this.lastChange;
-            const receivedAt = this.clock.monotonic() - ageMs;
             this.entries.set(record.id, {
                 record,
                 receivedAt,
@@ -116,7 +119,6 @@
             this.changed.fire({ record, isUrgent: false });
             return true;
         }
-        const receivedAt = this.clock.monotonic() - ageMs;
         const isSameProcess = current?.record.start === record.start;
         this.put(record, isSameProcess ? Math.max(receivedAt, current.receivedAt) : receivedAt, isUrgent);
         return true;
@@ -206,5 +208,8 @@
     && a.host === b.host && a.port === b.port && a.version === b.version && a.slots === b.slots
     && a.domain === b.domain;
 
-const isColdAgain = (record: UpstreamRecord, current: UpstreamRecord): boolean =>
-    record.coldMs > 0 && current.coldMs <= 0;
+/** Whether the upstream stays cold for longer than its last record said: it has turned cold once more meanwhile. */
+const isColdAgain = ({ record, receivedAt }: ReceivedRecord, current: ReceivedRecord): boolean =>
+    record.coldMs > 0
+    && (current.record.coldMs <= 0
+        || receivedAt + record.coldMs > current.receivedAt + current.record.coldMs + COLD_TIME_JITTER_MS);
