Deadlines of callers pass while the machine is suspended

The steady time by which limits now count stands still during a suspension, so a waiting request whose caller had left meanwhile would have been sent on. The test sends the request if the queue counts by monotonic().

--- a/src/common/gateway/RequestQueue.test.ts
+++ b/src/common/gateway/RequestQueue.test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { MachineClock } from "../../../addons/fakes/MachineClock.ts";
+import { type Clock } from "../time/Clock.ts";
 import { ManualClock } from "../time/ManualClock.ts";
+import { SuspendAwareClock } from "../time/SuspendAwareClock.ts";
 import { RequestQueue, type StartResult, type WaitingRequest } from "./RequestQueue.ts";
 
 interface TestRequest extends WaitingRequest {
@@ -8,13 +11,12 @@
 }
 
 /** A queue, the requests that it has sent in order, and whether upstreams have room. */
-const createQueue = () => {
-    const clock = new ManualClock(1000);
-    const queue = new RequestQueue<TestRequest>(clock, () => false);
+const createQueue = (clock = new ManualClock(1000), ownClock: Clock = clock) => {
+    const queue = new RequestQueue<TestRequest>(ownClock, () => false);
     const sent: string[] = [];
     const room = { count: 0 };
     const add = (id: string, change: Partial<TestRequest> = {}): TestRequest => {
-        const now = clock.monotonic();
+        const now = ownClock.boottime();
         const req = {
             id,
             account: "a",
@@ -125,3 +127,14 @@
     assert.ok(refusals.some(text => text.endsWith(" estimate")), refusals.join());
     assert.ok(refusals.every(text => !text.endsWith(" waited")), refusals.join());
 });
+
+// GONE: the monotonic clock stands still while the machine is suspended, and the caller has left meanwhile.
+test("RequestQueue: a request whose deadline passed while the machine was suspended isn't sent", () => {
+    const clock = new ManualClock(1000);
+    const machine = new MachineClock(clock);
+    const { sent, add, advance } = createQueue(clock, new SuspendAwareClock(machine));
+    add("q");
+    machine.step(6000);
+    assert.deepEqual(advance(1), ["q deadline"]);
+    assert.deepEqual(sent, []);
+});
--- a/src/common/gateway/RequestQueue.ts
+++ b/src/common/gateway/RequestQueue.ts
@@ -53,9 +53,9 @@
     readonly objectiveMs: number;
     /** Expected time from its start at an upstream until its answer begins, in ms. */
     readonly workMs: number;
-    /** Monotonic time at which it arrived at this instance, in ms. */
+    /** Boot time at which it arrived at this instance, in ms. */
     readonly arrivedAt: number;
-    /** Monotonic time from which it waits, in ms. */
+    /** Boot time from which it waits, in ms. */
     readonly waitsSince: number;
     readonly deadlineAt: number;
     /** Whether an earlier attempt has failed: it has waited before, and goes ahead of new requests. */
@@ -95,7 +95,7 @@
 
 interface Entry<T> {
     readonly req: T;
-    /** Monotonic time until which it may wait, in ms. */
+    /** Boot time until which it may wait, in ms. */
     readonly waitUntil: number;
     /** False if it has waited before, here or at its caller; such requests go ahead of new ones of their level. */
     readonly isNew: boolean;
@@ -209,14 +209,14 @@
     }
 
     private takeHopeless(): QueueRefusal<T>[] {
-        const now = this.clock.monotonic();
+        const now = this.clock.boottime();
         const hopeless = [...this.entries.values()].filter(({ req }) => now > req.deadlineAt - MIN_ATTEMPT_MS);
         return hopeless.map(entry => this.refuse(entry, "deadline", 0));
     }
 
     /** The requests that are to be refused, among those that no upstream has room for. */
     private takeRefusals(order: readonly Entry<T>[]): QueueRefusal<T>[] {
-        const now = this.clock.monotonic();
+        const now = this.clock.boottime();
         const meanMs = order.length === 0 ? 0 : this.departures.meanMs;
         const refusals: QueueRefusal<T>[] = [];
         let ahead = 0;
@@ -241,7 +241,7 @@
     /** Whether a waiting request is not expected to be sent in time. */
     private isHopeless(entry: Entry<T>, ahead: number, meanMs: number): boolean {
         const { req, waitUntil, isAdmitted } = entry;
-        const now = this.clock.monotonic();
+        const now = this.clock.boottime();
         const isJudged = !isAdmitted && now - req.waitsSince >= DECISION_MS;
         entry.isAdmitted ||= isJudged;
         const departures = Math.max(ahead, isJudged ? 1 : FIRST_IN_LINE);
@@ -337,7 +337,7 @@
      * raised: most of them wait for long, and would go ahead of those of the others.
      */
     private tag(entries: Entry<T>[], virtualTime: number, isOverShare: boolean): void {
-        const now = this.clock.monotonic();
+        const now = this.clock.boottime();
         for (const entry of entries) {
             const { req, waitUntil } = entry;
             const raiseMs = RAISE_SHARE * Math.min(req.objectiveMs, waitUntil - req.waitsSince);
--- a/src/common/gateway/WaitingRequests.ts
+++ b/src/common/gateway/WaitingRequests.ts
@@ -237,7 +237,7 @@
 
     private refuse(service: string, known: ServiceQueue<S>, refusal: QueueRefusal<Ticket<S>>): void {
         const { req, reason, ahead, estimateMs, roomInMs } = refusal;
-        const timeLeftMs = req.deadlineAt - this.deps.clock.monotonic();
+        const timeLeftMs = req.deadlineAt - this.deps.clock.boottime();
         const spreadMs = hashFraction(req.id) * RETURN_SPREAD_MS;
         const retryAfterMs = Math.max(1, Math.min(roomInMs + spreadMs, timeLeftMs * MAX_RETURN_SHARE));
         if (req.isOptional !== true) {
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -12,7 +12,7 @@
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { attemptEnd, type AttemptFailure } from "./AttemptEnd.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
-import { type Call, type CallState } from "./Call.ts";
+import { type Call, type CallState, remainingMs } from "./Call.ts";
 import { type AttemptDependencies } from "./UpstreamAttempts.ts";
 import { type Exchange, type ExchangeFailure, isFailure } from "./UpstreamConnections.ts";
 import { CHUNK_OVERHEAD_BYTES, readWholeBody, unusableResponse } from "./WholeBody.ts";
@@ -40,7 +40,7 @@
     /** Whether a usable response has begun. */
     private hasResponse = false;
     private readonly pace: EventPace;
-    /** Monotonic time of the first event of this attempt, in ms. */
+    /** Boot time of the first event of this attempt, in ms. */
     private firstEventAt: number | undefined;
     /** Monotonic time of the newest progress: the request was sent, its head came, or a further event, in ms. */
     private progressAt: number;
@@ -75,7 +75,7 @@
         const load = new AttemptLoad(deps.clock, deps.upstreamStats, this.selection, call.req.prompt?.tokens ?? 0);
         this.load = load;
         const deadline = deps.clock.schedule(
-            call.deadlineAt - this.sentAt,
+            remainingMs(call, deps.clock),
             () => this.giveUp("the deadline has passed"),
         );
         const callerGone = call.reply.onCallerGone(() => exchange.abort("the caller has left"));
@@ -420,7 +420,7 @@
 
     private recordEventTimes(): void {
         const { state, call } = this;
-        const now = this.deps.clock.monotonic();
+        const now = this.deps.clock.boottime();
         this.load?.recordEvent();
         if (state.firstEventMs === undefined) {
             state.firstEventMs = now - call.arrivedAt;
--- a/src/node/gateway/Call.ts
+++ b/src/node/gateway/Call.ts
@@ -20,9 +20,9 @@
     readonly body: Buffer | undefined;
     /** The request's own key is a hash of its caller and content, which is the same when the caller repeats it. */
     readonly keys: CallKeys;
-    /** Monotonic time at which its headers had arrived, in ms. */
+    /** Boot time at which its headers had arrived, in ms. */
     readonly arrivedAt: number;
-    /** Monotonic time by which its response must be complete, in ms. */
+    /** Boot time by which its response must be complete, in ms: it doesn't last longer because the machine is suspended. */
     readonly deadlineAt: number;
     readonly reply: CallerReply;
 }
@@ -80,7 +80,7 @@
     readonly modelIndexes: number[];
     /** Time from the arrival of the request to its first event, in ms. */
     firstEventMs: number | undefined;
-    /** Monotonic time of the newest event, in ms. */
+    /** Boot time of the newest event, in ms. */
     lastEventAt: number;
     /** Longest pause between two consecutive events, in ms. */
     longestPauseMs: number;
@@ -119,7 +119,7 @@
 });
 
 /** Time until the deadline of the request, in ms. */
-export const remainingMs = (call: Call, clock: Clock): number => call.deadlineAt - clock.monotonic();
+export const remainingMs = (call: Call, clock: Clock): number => call.deadlineAt - clock.boottime();
 
 /** Whether the route allows one more run beside those that may have happened or are under way. */
 export const hasRunsLeft = ({ route }: Call, { possibleRuns, attempts }: CallState): boolean =>
--- a/src/node/gateway/CallerHandler.ts
+++ b/src/node/gateway/CallerHandler.ts
@@ -118,7 +118,7 @@
     }
 
     public readonly handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-        const arrivedAt = this.deps.clock.monotonic();
+        const arrivedAt = this.deps.clock.boottime();
         const reply = new CallerReply(req, res);
         const request = this.deps.codec.readRequest(req.method ?? "GET", req.url ?? "/", req.rawHeaders);
         const open = this.addOpen(request, reply);
@@ -204,7 +204,7 @@
         const call = this.createCall(request, admission, body, reply, arrivedAt);
         open.phase = "routing";
         const result = await this.run(call, state);
-        log.logFinished(request, call, state, open.preemptedBy ?? result, clock.monotonic() - arrivedAt);
+        log.logFinished(request, call, state, open.preemptedBy ?? result, clock.boottime() - arrivedAt);
     }
 
     private run(call: Call, state: CallState): Promise<CallResult> | CallResult {
@@ -271,7 +271,7 @@
         const { status, reason, retryAfterMs } = refusal;
         reply.sendError(status, codec.refusalHeaders(request, retryAfterMs), reason);
         const result = { outcome: "refused", status, reason } as const;
-        log.logFinished(request, undefined, undefined, result, clock.monotonic() - arrivedAt);
+        log.logFinished(request, undefined, undefined, result, clock.boottime() - arrivedAt);
     }
 }
 
--- a/src/node/gateway/ModelChoice.ts
+++ b/src/node/gateway/ModelChoice.ts
@@ -67,7 +67,7 @@
         if (call.reply.hasBegun || call.req.resumeAfter !== undefined || !mayReplace) {
             return undefined;
         }
-        const elapsedMs = clock.monotonic() - call.arrivedAt;
+        const elapsedMs = clock.boottime() - call.arrivedAt;
         const next = isByValue
             ? this.nextByValue(call, state, confidence)
             : this.escalator.escalate({
@@ -119,7 +119,7 @@
             service,
             prompt: req.prompt,
             priority: account?.priority ?? route.priority,
-            elapsedMs: this.deps.clock.monotonic() - arrivedAt,
+            elapsedMs: this.deps.clock.boottime() - arrivedAt,
             timeoutMs: deadlineAt - arrivedAt,
         };
     }
--- a/src/node/gateway/QueuedSelection.ts
+++ b/src/node/gateway/QueuedSelection.ts
@@ -137,7 +137,7 @@
         const isOptional = signal !== undefined;
         const req = this.createRequest(call, state, wantedOf, () => notBefore, isOptional);
         return async () => {
-            notBefore = ++tries > IMMEDIATE_RETRIES ? clock.monotonic() + RETRY_PAUSE_MS : -Infinity;
+            notBefore = ++tries > IMMEDIATE_RETRIES ? clock.boottime() + RETRY_PAUSE_MS : -Infinity;
             const abandon = (): void => waiting.abandon(service.name, req);
             const subscription = call.reply.onCallerGone(abandon);
             signal?.addEventListener("abort", abandon);
@@ -168,7 +168,7 @@
         const workMs = service.engineSlots === undefined
             ? waiting.workMs(service.name, objectiveMs)
             : 1 + (req.prompt?.tokens ?? 0) / READ_TOKENS_PER_MS;
-        const waitsSince = clock.monotonic();
+        const waitsSince = clock.boottime();
         let checkedAt = -Infinity;
         return {
             id: req.id,
@@ -187,7 +187,7 @@
             isStream: route.kind === "stream",
             key: keys.request,
             start: () => {
-                const now = clock.monotonic();
+                const now = clock.boottime();
                 if (now < notBefore()) {
                     return undefined;
                 }
@@ -221,7 +221,7 @@
     private withRoom(call: Call, wanted: SelectionRequest, workMs: number, waitedMs: number): SelectionRequest {
         const { waiting, deps: { clock } } = this;
         const { service, account, route: { objectiveMs }, deadlineAt } = call;
-        const timeLeftMs = deadlineAt - clock.monotonic();
+        const timeLeftMs = deadlineAt - clock.boottime();
         const isOverShare = waiting.isOverShare(service.name, account?.name ?? "");
         const isWithinLimit = waiting.limitOf(service.name).hasRoom;
         const room = { objectiveMs, timeLeftMs, waitedMs, workMs, isOverShare, isWithinLimit };
@@ -246,7 +246,7 @@
     }
 
     private recordWait(state: CallState, since: number, refusal: WaitRefusal | undefined): void {
-        const waitedMs = this.deps.clock.monotonic() - since;
+        const waitedMs = this.deps.clock.boottime() - since;
         state.wait = {
             waitedMs: waitedMs + (state.wait?.waitedMs ?? 0),
             refusal: refusal?.reason,
