Slot leases and confirmations of the own product expire during a suspension, too

Its clock left suspensions out, so an instance that woke up used slots that their owner had granted to others meanwhile, and took its configuration for confirmed. Both count by boottime() now.

--- a/src/common/configuration/ConfigurationFollower.ts
+++ b/src/common/configuration/ConfigurationFollower.ts
@@ -73,7 +73,7 @@
 
     /** Age of the newest confirmation by the control majority that this configuration is current, in ms. */
     public get confirmationAgeMs(): number {
-        return Math.min(this.localControl?.confirmationAgeMs ?? Infinity, this.clock.monotonic() - this.confirmedAt);
+        return Math.min(this.localControl?.confirmationAgeMs ?? Infinity, this.clock.boottime() - this.confirmedAt);
     }
 
     /** Whether the newest quorum confirmation is recent. If not, other instances may have a later configuration. */
@@ -131,7 +131,7 @@
 
     /** Returns whether the source replied. */
     private async fetch(source: string): Promise<boolean> {
-        const sentAt = this.clock.monotonic();
+        const sentAt = this.clock.boottime();
         try {
             const req = { revision: this.current.revision };
             const reply = await this.network.call(source, "fetchConfiguration", req, FETCH_TIMEOUT_MS);
--- a/src/common/slots/SlotPool.ts
+++ b/src/common/slots/SlotPool.ts
@@ -101,7 +101,7 @@
     /** Slots that can be acquired now. */
     public freeSlots(upstream: Upstream): number {
         const lease = this.leaseOf(upstream);
-        if (lease === undefined || this.clock.monotonic() >= lease.usableUntil) {
+        if (lease === undefined || this.clock.boottime() >= lease.usableUntil) {
             return 0;
         }
         return Math.max(0, lease.granted - lease.inUse);
@@ -263,7 +263,7 @@
             this.deferredOwners.add(owner);
             return;
         }
-        const sentAt = this.clock.monotonic();
+        const sentAt = this.clock.boottime();
         const leases = [...this.leases.values()].filter(lease =>
             this.ownerOf(lease.upstream) === owner && this.isRenewed(lease)
         );
@@ -272,7 +272,10 @@
         }
         this.pendingRequests.set(owner, pending + 1);
         try {
-            const grants = await this.requestSlots(owner, leases.map(lease => this.toRequest(lease, sentAt)));
+            const grants = await this.requestSlots(
+                owner,
+                leases.map(lease => this.toRequest(lease, this.clock.monotonic())),
+            );
             for (const grant of grants) {
                 this.applyGrant(grant, sentAt);
             }
@@ -327,7 +330,7 @@
         if (lease?.upstream.announcement.startId !== grant.startId || grant.seq <= lease.appliedSeq) {
             return;
         }
-        const hasNewSlots = grant.granted > lease.granted || this.clock.monotonic() >= lease.usableUntil;
+        const hasNewSlots = grant.granted > lease.granted || this.clock.boottime() >= lease.usableUntil;
         lease.needs.delete(INITIAL_DEMAND.account);
         lease.granted = grant.granted;
         lease.appliedSeq = grant.seq;
