--- a/addons/fakes/ColdStartSimulation.ts
+++ b/addons/fakes/ColdStartSimulation.ts
@@ -83,11 +83,14 @@
     public readonly clock = new ManualClock(1000);
     /** Entry instances that reach no control instance. */
     public readonly cut = new Set<string>();
-    public readonly entryIds: readonly string[];
+    /** Pairs of instances, in either order, between which messages are lost, as `FROM TO`. */
+    public readonly cutPairs = new Set<string>();
+    /** Entry instances, of which some may be stopped at the moment. */
+    public readonly entryIds: string[];
     private readonly options: Required<ColdStartOptions>;
     private readonly hub = new MemoryHub(
         this.clock,
-        (from, to) => this.cut.has(from) || this.cut.has(to) ? undefined : 2,
+        (from, to) => this.isCut(from, to) ? undefined : 2,
     );
     private readonly entries = new Map<string, Entry>();
     private readonly controls = new Map<string, Control>();
@@ -217,6 +220,15 @@
             }));
     }
 
+    /** Stops an entry instance for good; one with another id takes its place after `delayMs`. */
+    public replace(id: string, delayMs: number): void {
+        const index = this.entryIds.indexOf(id);
+        const successor = `${id}+`;
+        this.entryIds[index] = successor;
+        this.stop(id);
+        this.clock.schedule(delayMs, () => this.startEntry(successor));
+    }
+
     /** Replaces all upstreams by new ones, which are cold and have ids of their own. */
     public startUpstreams(): void {
         this.upstreams.length = 0;
@@ -329,6 +341,11 @@
         return this.upstreams.filter(({ record }) => record.domain === domain);
     }
 
+    private isCut(from: string, to: string): boolean {
+        return this.cut.has(from) || this.cut.has(to)
+            || this.cutPairs.has(`${from} ${to}`) || this.cutPairs.has(`${to} ${from}`);
+    }
+
     private machineOf(id: string): MachineClock {
         const machine = this.machines.get(id) ?? new MachineClock(this.clock);
         this.machines.set(id, machine);
--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -158,3 +158,39 @@
         },
     );
 }
+
+/** Lets instances differ for a while in whom they know, by replacing some, and by cutting some off from some control instances. */
+const divideRosters = (simulation: ColdStartSimulation, random: SeededRandom): void => {
+    const chosen = simulation.entryIds.filter(() => random.chance(0.2));
+    if (random.chance(0.5)) {
+        chosen.forEach(id => simulation.replace(id, random.nextInt(2000)));
+    }
+    const pairs = simulation.entryIds.filter(() => random.chance(0.3)).map(id => `${id} ${random.pick(CONTROLS)}`);
+    pairs.forEach(pair => simulation.cutPairs.add(pair));
+    simulation.clock.schedule(random.nextInt(12_000), () => pairs.forEach(pair => simulation.cutPairs.delete(pair)));
+    if (random.chance(0.5)) {
+        simulation.restart(CONTROLS.filter(() => random.chance(0.5)), random.nextInt(2000));
+    }
+};
+
+test("cold start: the limit holds while instances differ in their clocks, rosters and news", async () => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+        const random = new SeededRandom(seed);
+        const simulation = new ColdStartSimulation({ entries: DISTURBED_ENTRIES });
+        await simulation.run(SETTLED_MS);
+        for (let round = 0; round < ROUNDS; round++) {
+            divideRosters(simulation, random);
+            if (random.chance(0.5)) {
+                disturb(simulation, random);
+            }
+            await simulation.run(random.nextInt(COLD_MS));
+            simulation.startUpstreams();
+            await simulation.run(random.nextInt(1000));
+            stepClocks(simulation, random);
+            await simulation.run(COLD_MS);
+            const most = simulation.mostInOneSecond;
+            assert.ok(most <= BOUND, `seed ${seed}, round ${round}: ${most} requests in one second, allowed ${BOUND}`);
+        }
+        simulation.dispose();
+    }
+});
