--- a/src/common/gateway/ColdUpstreams.test.ts
+++ b/src/common/gateway/ColdUpstreams.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { ManualClock } from "../time/ManualClock.ts";
 import { ColdUpstreams, type MisjudgedSends } from "./ColdUpstreams.ts";
+import { type Service } from "./GatewayConfig.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
 import { type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
 
@@ -21,8 +22,16 @@
     coldMs: 0,
 };
 
-// Without this, an instance that takes a cold upstream for warm leaves no trace.
-test("ColdUpstreams: counts the requests that went to an upstream while it was cold and counted as warm", () => {
+const service: Service = {
+    name: "s",
+    maxConnections: 100,
+    coldStartMs: COLD_MS,
+    coldPerSecond: 11,
+    engineSlots: 8,
+    models: [],
+};
+
+const createSetup = () => {
     const clock = new ManualClock(100_000);
     const directory = new UpstreamDirectory(clock);
     const found: MisjudgedSends[] = [];
@@ -36,8 +45,20 @@
         onSend: () => undefined,
         onMisjudged: sends => found.push(sends),
     });
-    const send = (): void => cold.recordSend(directory.get("u") as ReceivedRecord);
+    const received = (): ReceivedRecord => directory.get("u") as ReceivedRecord;
+    const send = (): void => cold.recordSend(received());
+    /** Whether a second request may follow the first at once. */
+    const isUnlimited = (): boolean => {
+        send();
+        return cold.maySend(service, received());
+    };
     directory.merge(warm, 0);
+    return { clock, directory, cold, found, send, isUnlimited };
+};
+
+// Without this, an instance that takes a cold upstream for warm leaves no trace.
+test("ColdUpstreams: counts the requests that went to an upstream while it was cold and counted as warm", () => {
+    const { clock, directory, cold, found, send } = createSetup();
     send();
     clock.advance(1000);
     // Here it turns cold.
@@ -53,3 +74,35 @@
     assert.equal(found.length, 1, "each request is counted once");
     cold.dispose();
 });
+
+test("ColdUpstreams: an upstream that may have turned cold is limited until its next check-in only", () => {
+    const signs: ((cold: ColdUpstreams) => void)[] = [
+        cold => cold.recordUnreached("u"),
+        cold => [["here"], []].forEach(domains => cold.updateDrainedDomains(domains)),
+    ];
+    for (const giveSign of signs) {
+        const { clock, directory, cold, isUnlimited } = createSetup();
+        assert.equal(isUnlimited(), true);
+        clock.advance(500);
+        giveSign(cold);
+        assert.equal(isUnlimited(), false);
+        clock.advance(500);
+        // It was sent before the sign.
+        directory.merge({ ...warm, seq: 2 }, 600);
+        assert.equal(isUnlimited(), false);
+        directory.merge({ ...warm, seq: 3 }, 100);
+        assert.equal(isUnlimited(), true);
+        cold.dispose();
+    }
+});
+
+test("ColdUpstreams: without a check-in, an upstream that may have turned cold counts as cold for one cold start", () => {
+    const { clock, cold, isUnlimited } = createSetup();
+    clock.advance(1);
+    cold.recordUnreached("u");
+    clock.advance(COLD_MS - 1);
+    assert.equal(isUnlimited(), false);
+    clock.advance(1);
+    assert.equal(isUnlimited(), true);
+    cold.dispose();
+});
