Tests: upstreams start again under the load of a large site; at twice its load the limit does not hold (KNOWN-RED)

71 instances and 64 upstreams, of which a quarter is down for 0.6 s and comes back cold with the news up to 1.2 s late.

--- a/src/common/gateway/ColdStart.test.ts
+++ b/src/common/gateway/ColdStart.test.ts
@@ -139,24 +139,35 @@
 }
 
 // FAILBACK: an upstream that had ended and started again, cold, under its id was taken for warm.
-for (const entries of [7, 24, ENTRIES]) {
-    test(
-        `cold start: the limit holds when an upstream that ${entries} instances use starts again`,
-        async () => {
-            const random = new SeededRandom(entries);
-            const simulation = new ColdStartSimulation({ entries });
-            await simulation.run(SETTLED_MS);
-            simulation.startUpstreams();
-            await simulation.run(COLD_MS + HEARTBEAT_MS);
-            for (let round = 0; round < 3; round++) {
-                simulation.restartUpstreams("d0", 600, () => random.nextInt(LATE_NEWS_MS));
-                await simulation.run(600 + COLD_MS + HEARTBEAT_MS);
-            }
-            const most = simulation.mostInOneSecond;
-            assert.ok(most <= BOUND, `${most} requests in one second, allowed ${BOUND}`);
-            simulation.dispose();
+for (
+    const { entries, upstreams, intervalMs, todo } of [
+        { entries: 7, upstreams: 1, intervalMs: STEP_MS },
+        { entries: 24, upstreams: 1, intervalMs: STEP_MS },
+        { entries: ENTRIES, upstreams: 1, intervalMs: STEP_MS },
+        { entries: ENTRIES, upstreams: 64, intervalMs: 12 * STEP_MS },
+        {
+            entries: ENTRIES,
+            upstreams: 64,
+            intervalMs: 6 * STEP_MS,
+            todo: "KNOWN-RED.txt: most instances haven't tried it",
         },
-    );
+    ]
+) {
+    const load = `${entries} instances with a request each ${intervalMs} ms`;
+    test(`cold start: the limit holds when some of ${upstreams} upstreams start again, ${load}`, { todo }, async () => {
+        const random = new SeededRandom(entries);
+        const simulation = new ColdStartSimulation({ entries, upstreams, intervalMs });
+        await simulation.run(SETTLED_MS);
+        simulation.startUpstreams();
+        await simulation.run(COLD_MS + HEARTBEAT_MS);
+        for (let round = 0; round < 3; round++) {
+            simulation.restartUpstreams("d0", 600, () => random.nextInt(LATE_NEWS_MS));
+            await simulation.run(600 + COLD_MS + HEARTBEAT_MS);
+        }
+        const most = simulation.mostInOneSecond;
+        assert.ok(most <= BOUND, `${most} requests in one second, allowed ${BOUND}`);
+        simulation.dispose();
+    });
 }
 
 /** Lets instances differ for a while in whom they know, by replacing some, and by cutting some off from some control instances. */
