Doubts about a cold upstream last as long as its cold start, and warm upstreams cost no reading of the clock

An upstream that can't be connected to counts as cold until its next check-in, at most for the time of a cold start. The eviction dropped this after 10 s, whatever that time was: with a cold start of 25 s, an instance sent without limit after 10 s. What is kept about upstreams is now discarded once the directory doesn't know them, instead of by an age of its own. The test failed before.

Besides, without a change of behaviour: the time of a cold start comes from one place instead of two; a warm upstream that nobody doubts costs no reading of the clock, as each request compares many; and a send appends to the remembered times instead of copying them.

--- a/addons/fakes/ColdUpstreamsOf.ts
+++ b/addons/fakes/ColdUpstreamsOf.ts
@@ -1,12 +1,17 @@
 /**
- * Cold upstreams for tests that have none.
+ * Cold upstreams, as an instance of a test knows them.
  */
-import { ColdUpstreams } from "../../src/common/gateway/ColdUpstreams.ts";
+import { ColdUpstreams, type ColdUpstreamsDependencies } from "../../src/common/gateway/ColdUpstreams.ts";
 import { type UpstreamDirectory } from "../../src/common/gateway/UpstreamDirectory.ts";
 import { type Clock } from "../../src/common/time/Clock.ts";
 
-/** Cold upstreams as an instance knows them that has learned of no other. */
-export const coldUpstreamsOf = (clock: Clock, directory: UpstreamDirectory, self: string): ColdUpstreams =>
+/** Those of an instance that has learned of no other, but for the given dependencies. */
+export const coldUpstreamsOf = (
+    clock: Clock,
+    directory: UpstreamDirectory,
+    self: string,
+    change: Partial<ColdUpstreamsDependencies> = {},
+): ColdUpstreams =>
     new ColdUpstreams({
         clock,
         directory,
@@ -16,4 +21,5 @@
         coldStartMs: () => 0,
         onSend: () => undefined,
         onMisjudged: () => undefined,
+        ...change,
     });
--- a/src/common/gateway/ColdUpstreams.test.ts
+++ b/src/common/gateway/ColdUpstreams.test.ts
@@ -1,26 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { coldUpstreamsOf } from "../../../addons/fakes/ColdUpstreamsOf.ts";
+import { createUpstreamRecord } from "../../../addons/fakes/UpstreamRecords.ts";
 import { ManualClock } from "../time/ManualClock.ts";
-import { ColdUpstreams, type MisjudgedSends } from "./ColdUpstreams.ts";
+import { type ColdUpstreams, type MisjudgedSends } from "./ColdUpstreams.ts";
 import { type Service } from "./GatewayConfig.ts";
 import { UpstreamDirectory } from "./UpstreamDirectory.ts";
-import { type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
+import { type ReceivedRecord } from "./UpstreamRecord.ts";
 
 const COLD_MS = 3000;
 
-const warm: UpstreamRecord = {
-    id: "u",
-    start: 1,
-    seq: 1,
-    service: "s",
-    host: "10.0.0.1",
-    port: 80,
-    domain: "here",
-    version: "v1",
-    slots: 8,
-    state: "ready",
-    coldMs: 0,
-};
+const warm = createUpstreamRecord({ id: "u", domain: "here" });
 
 const service: Service = {
     name: "s",
@@ -31,18 +21,13 @@
     models: [],
 };
 
-const createSetup = () => {
+const createSetup = (coldStartMs = COLD_MS) => {
     const clock = new ManualClock(100_000);
     const directory = new UpstreamDirectory(clock);
     const found: MisjudgedSends[] = [];
-    const cold = new ColdUpstreams({
-        clock,
-        directory,
-        self: "e:1",
+    const cold = coldUpstreamsOf(clock, directory, "e:1", {
         entries: () => ["e:1"],
-        tolerance: { excess: 1.5, slack: 5 },
-        coldStartMs: () => COLD_MS,
-        onSend: () => undefined,
+        coldStartMs: () => coldStartMs,
         onMisjudged: sends => found.push(sends),
     });
     const received = (): ReceivedRecord => directory.get("u") as ReceivedRecord;
@@ -97,12 +82,14 @@
 });
 
 test("ColdUpstreams: without a check-in, an upstream that may have turned cold counts as cold for one cold start", () => {
-    const { clock, cold, isUnlimited } = createSetup();
-    clock.advance(1);
-    cold.recordUnreached("u");
-    clock.advance(COLD_MS - 1);
-    assert.equal(isUnlimited(), false);
-    clock.advance(1);
-    assert.equal(isUnlimited(), true);
-    cold.dispose();
+    for (const coldStartMs of [COLD_MS, 25_000]) {
+        const { clock, cold, isUnlimited } = createSetup(coldStartMs);
+        clock.advance(1);
+        cold.recordUnreached("u");
+        clock.advance(coldStartMs - 1);
+        assert.equal(isUnlimited(), false);
+        clock.advance(1);
+        assert.equal(isUnlimited(), true);
+        cold.dispose();
+    }
 });
--- a/src/common/gateway/ColdUpstreams.ts
+++ b/src/common/gateway/ColdUpstreams.ts
@@ -12,8 +12,8 @@
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 import { type ReceivedRecord, type UpstreamRecord } from "./UpstreamRecord.ts";
 
-/** How long requests to warm upstreams, and doubts, are remembered, in ms; longer than an upstream stays cold. */
-const MEMORY_MS = 10_000;
+/** How often what is kept about upstreams that are not known any more is discarded, in ms. */
+const EVICTION_PERIOD_MS = 10_000;
 /** Most requests that are remembered for one upstream. */
 const MAX_REMEMBERED = 32;
 
@@ -70,7 +70,7 @@
         super();
         this.deps = deps;
         this.limiter = new ColdStartLimiter(deps.clock, deps.self);
-        this.register(repeat(deps.clock, MEMORY_MS, () => this.evictStale()));
+        this.register(repeat(deps.clock, EVICTION_PERIOD_MS, () => this.evictStale()));
         this.register(deps.directory.onChanged(({ record: { id, coldMs } }) => {
             const received = coldMs > 0 ? deps.directory.get(id) : undefined;
             if (received !== undefined) {
@@ -81,7 +81,7 @@
 
     /** Whether the upstream may get a request now, as far as it is cold. */
     public maySend(service: Service, received: ReceivedRecord): boolean {
-        if (this.coldLeftMs(received, service.coldStartMs) <= 0 || service.coldPerSecond <= 0) {
+        if (this.coldLeftMs(received) <= 0 || service.coldPerSecond <= 0) {
             return true;
         }
         const rate = { perSecond: service.coldPerSecond, ...this.deps.tolerance };
@@ -92,15 +92,19 @@
     public recordSend(received: ReceivedRecord): void {
         const { record, receivedAt } = received;
         const now = this.deps.clock.monotonic();
-        const coldLeftMs = this.coldLeftMs(received, this.deps.coldStartMs(record.service));
+        const coldLeftMs = this.coldLeftMs(received);
         // Also while it counts as warm, since it may have turned cold already, or started again under its id.
         const sinceLastMs = this.limiter.recordSend(record.id);
         if (coldLeftMs > 0) {
             this.deps.onSend({ record, sinceLastMs, coldLeftMs, recordAgeMs: now - receivedAt });
             return;
         }
-        const recent = this.warmSends.get(record.id)?.filter(at => now - at < MEMORY_MS) ?? [];
-        this.warmSends.set(record.id, [...recent.slice(1 - MAX_REMEMBERED), now]);
+        const times = this.warmSends.get(record.id) ?? [];
+        times.push(now);
+        if (times.length > MAX_REMEMBERED) {
+            times.shift();
+        }
+        this.warmSends.set(record.id, times);
     }
 
     /**
@@ -125,18 +129,13 @@
         this.doubt(id);
     }
 
-    /** Discards what is kept about upstreams and has no effect any more. */
     private evictStale(): void {
         this.limiter.evictStale();
-        const now = this.deps.clock.monotonic();
-        for (const [id, times] of this.warmSends) {
-            if (now - (times.at(-1) ?? -Infinity) >= MEMORY_MS) {
-                this.warmSends.delete(id);
-            }
-        }
-        for (const [id, at] of this.doubtedAt) {
-            if (now - at >= MEMORY_MS) {
-                this.doubtedAt.delete(id);
+        for (const known of [this.warmSends, this.doubtedAt]) {
+            for (const id of known.keys()) {
+                if (this.deps.directory.get(id) === undefined) {
+                    known.delete(id);
+                }
             }
         }
     }
@@ -158,9 +157,16 @@
         this.doubtedAt.set(id, this.deps.clock.monotonic());
     }
 
-    private coldLeftMs({ record, receivedAt }: ReceivedRecord, coldStartMs: number): number {
+    /** How much longer the upstream counts as cold, in ms; 0 or less if it counts as warm. */
+    private coldLeftMs({ record, receivedAt }: ReceivedRecord): number {
+        const { clock, coldStartMs } = this.deps;
         const doubtedAt = this.doubtedAt.get(record.id) ?? -Infinity;
-        const doubtedUntil = doubtedAt > receivedAt ? doubtedAt + coldStartMs : -Infinity;
-        return Math.max(doubtedUntil, receivedAt + record.coldMs) - this.deps.clock.monotonic();
+        const isDoubted = doubtedAt > receivedAt;
+        // Nearly all upstreams are warm, and each request compares many.
+        if (!isDoubted && record.coldMs <= 0) {
+            return 0;
+        }
+        const doubtedUntil = isDoubted ? doubtedAt + coldStartMs(record.service) : -Infinity;
+        return Math.max(doubtedUntil, receivedAt + record.coldMs) - clock.monotonic();
     }
 }
