--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -9,9 +9,12 @@
 
 const HOST = "booking.example";
 const ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"];
-const DURATION_S = 8;
+/** As in the site file. */
+const DURATION_S = 16;
 /** Time within which the machines are to serve again after the final fault, in ms. */
 const RECOVERY_MS = 12_000;
+/** The operator reads for so long. */
+const CONTACT_MS = 3000;
 
 const manifest = {
     version: 1,
@@ -142,10 +145,16 @@
         await Promise.all(deployment.machines.map(machine => deployment.kill(machine)));
         deployment.machines.forEach(machine => deployment.spawn(machine, false));
         await sleep(RECOVERY_MS);
-        const { state, target } = await read();
+        const found = [];
+        for (const end = Date.now() + CONTACT_MS; Date.now() < end; await sleep(300)) {
+            found.push(await read());
+        }
         isOver = true;
         await traffic;
-        return target === "v2" ? [] : [`LOST: the roll-out to v2 was confirmed last; read back is ${state} to ${target}`];
+        const { state, target } = found.at(-1);
+        return found.some(item => item.target === "v2")
+            ? []
+            : [`LOST: the roll-out to v2 was confirmed last; all ${found.length} times, read back is ${state} to ${target}`];
     }
     finally {
         isOver = true;
