--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -218,9 +218,10 @@
         const details = { kind: command.kind, ...describeCommand(command) };
         const knownRevision = this.fleet.revision;
         try {
-            const { index } = await this.client.submit({ ...command, knownRevision }, SUBMIT_TIMEOUT_MS);
+            const { index, outcome } = await this.client.submit({ ...command, knownRevision }, SUBMIT_TIMEOUT_MS);
             const ms = Math.round(this.deps.clock.monotonic() - startedAt);
-            this.deps.log.info("A change is committed.", { ...details, index, ms });
+            const isChange = outcome["revision"] === index;
+            this.deps.log.info("A change is committed.", { ...details, index, isChange, ms });
         }
         catch (err) {
             this.deps.log.warn("A change was not committed in time.", { ...details, reason: (err as Error).message });
