Roll-outs have an identity: a service can be rolled out again to a version that was a target before

Cause: service and target stood for a roll-out for good. The state machine took each later order of the pair for a repetition, and the leader kept the time of the order and pending steps by the pair.

A roll-out is now identified by the index of its entry in the log. An order carries the id of the newest roll-out that the receiving instance knew, and is outdated if another one has started since, as the state machine checks when it applies the order: a copy that is held up on its way can't undo a later order. While the roll-out is the newest, copies change nothing. After that, an instance takes an order for the same version neither for new nor for a repetition until the operator has stopped repeating the first one (new setting order_repeat_ms, the platform's ack_ms, and 1 s): it answers 503 with Retry-After, and counts the time by its own steady clock, without times in which it was held up.

Voters of earlier builds apply the same entries otherwise. So the fleet has a feature level: the leader raises it once all instances in service support it; until then every build comes to the same state from the same log, and an order that would be ignored is refused with 503, also where an instance of an earlier build has received it. An instance of an earlier build isn't made a voter after that. There is one roll-out for each pair, as earlier builds find them so, and of the finished ones the newest 16 of a service are kept besides the one in use.

--- a/src/common/errors/RouterError.ts
+++ b/src/common/errors/RouterError.ts
@@ -35,6 +35,7 @@
     overloaded: 503,
     stopping: 503,
     noMajority: 503,
+    repetitionUnclear: 503,
     deadlineExceeded: 504,
 } as const;
 
--- a/src/common/gateway/FleetFollower.ts
+++ b/src/common/gateway/FleetFollower.ts
@@ -11,7 +11,7 @@
 import { type CallKeys } from "./CallKeys.ts";
 import { type Answer, type BrokenRunReport } from "./CrashObserver.ts";
 import { DISCOVERY_MS, EntryRoster } from "./EntryRoster.ts";
-import { emptyFleet, type Fleet } from "./FleetState.ts";
+import { emptyFleet, FEATURE_LEVEL, type Fleet } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
 import { QuarantineList } from "./QuarantineList.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
@@ -259,6 +259,7 @@
             requestLimits: statements?.changedSince(peer.reportedStatements) ?? [],
             requestLimitsVersion: peer.receivedStatements,
             heldSessionsVersion: peer.heldSessionsVersion,
+            featureLevel: FEATURE_LEVEL,
         };
         const reply = await network.call(id, "watchFleet", req, WATCH_TIMEOUT_MS);
         // A control instance that has started again lacks what was reported to its last process.
--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -55,6 +55,8 @@
     readonly role: "entry" | "control";
     lastCallAt: number;
     outcomes: readonly RouteOutcomeCounts[];
+    /** Feature level that its build supports. */
+    featureLevel: number;
 }
 
 /** What a follower has received from this process. */
@@ -106,6 +108,16 @@
         return sumOutcomes([...this.followers.values()].map(follower => follower.outcomes));
     }
 
+    /** Feature level that each instance supports which has called lately, by id. */
+    public get supportedLevels(): ReadonlyMap<string, number> {
+        const oldest = this.deps.clock.monotonic() - ENTRY_TIMEOUT_MS;
+        return new Map(
+            [...this.followers]
+                .filter(([, { lastCallAt }]) => lastCallAt > oldest)
+                .map(([id, { featureLevel }]) => [id, featureLevel]),
+        );
+    }
+
     /** Re-evaluates all held calls. To be called after the fleet state has changed. */
     public flush(): void {
         this.changeSignal.fire();
@@ -138,8 +150,8 @@
     }
 
     private recordFollower(req: PeerRequest<"watchFleet">, from: string, now: number): void {
-        const { role, outcomes, heldSessions, brokenRuns, answers, quarantines, requestLimits } = req;
-        this.followers.set(from, { role, lastCallAt: now, outcomes });
+        const { role, outcomes, heldSessions, brokenRuns, answers, quarantines, requestLimits, featureLevel } = req;
+        this.followers.set(from, { role, lastCallAt: now, outcomes, featureLevel });
         this.heldSessions.replace(from, role === "entry" ? heldSessions : []);
         this.crashes.recordRuns(brokenRuns);
         this.crashes.recordAnswers(from, answers);
--- a/src/common/gateway/FleetState.test.ts
+++ b/src/common/gateway/FleetState.test.ts
@@ -58,3 +58,54 @@
     assert.equal(restored.isOutdated({ ...restore, knownRevision: 5 }), true);
     assert.equal(restored.isOutdated({ ...restore, knownRevision: 6 }), false);
 });
+
+const rolloutsOf = (state: FleetState): string[] =>
+    state.fleet.rollouts.map(({ id, target, state: phase }) => `${id} ${target} ${phase}`);
+
+test("FleetState: steps of an earlier roll-out to the same version don't move the later one", () => {
+    const state = new FleetState();
+    const move = { kind: "moveRollout", service: "s", target: "v2", state: "rolledBack", share: 0 };
+    state.apply({ ...startCommand, newestKnownId: 0 }, 1);
+    state.apply({ ...move, id: 1 }, 2);
+    state.apply({ ...startCommand, newestKnownId: 1 }, 3);
+    state.apply({ ...move, id: 1 }, 4);
+    state.apply(move, 5);
+    assert.deepEqual(rolloutsOf(state), ["3 v2 running"]);
+    state.apply({ ...move, id: 3 }, 6);
+    assert.deepEqual(rolloutsOf(state), ["3 v2 rolledBack"]);
+});
+
+test("FleetState: an order given before another roll-out began is outdated, unless it repeats the newest one", () => {
+    const state = new FleetState();
+    state.apply({ ...startCommand, newestKnownId: 0 }, 1);
+    assert.equal(state.isOutdated({ ...startCommand, newestKnownId: 0 }), false);
+    const other = { ...startCommand, target: "v3" };
+    assert.equal(state.isOutdated({ ...other, newestKnownId: 0 }), true);
+    assert.deepEqual(state.apply({ ...other, newestKnownId: 0 }, 2), { revision: 1, isOutdated: true });
+    state.apply({ ...other, newestKnownId: 1 }, 3);
+    assert.equal(state.isOutdated({ ...startCommand, newestKnownId: 0 }), true);
+    assert.deepEqual(rolloutsOf(state), ["1 v2 running", "3 v3 running"]);
+});
+
+test("FleetState: an order of an earlier build that would be ignored is outdated", () => {
+    const state = new FleetState();
+    state.apply(startCommand, 1);
+    assert.equal(state.isOutdated(startCommand), false);
+    state.apply({ ...startCommand, target: "v3" }, 2);
+    assert.equal(state.isOutdated(startCommand), true);
+});
+
+test("FleetState: the list of roll-outs doesn't grow without end, and keeps the version in use", () => {
+    const state = new FleetState();
+    state.apply({ ...startCommand, newestKnownId: 0 }, 1);
+    state.apply({ kind: "moveRollout", id: 1, service: "s", target: "v2", state: "completed", share: 1 }, 2);
+    let newestKnownId = 1;
+    for (let index = 3; index < 200; index += 2) {
+        const target = `v${index}`;
+        state.apply({ ...startCommand, target, newestKnownId }, index);
+        state.apply({ kind: "moveRollout", id: index, service: "s", target, state: "rolledBack", share: 0 }, index + 1);
+        newestKnownId = index;
+    }
+    assert.ok(state.fleet.rollouts.length < 20, `${state.fleet.rollouts.length} roll-outs`);
+    assert.equal(rolloutsOf(state)[0], "1 v2 completed");
+});
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -7,7 +7,19 @@
 import { type Command, type StateMachine } from "../control/LogStore.ts";
 import { Emitter } from "../lifecycle/Emitter.ts";
 
+/**
+ * Newest behaviour of the state machine that this build has. Voters of earlier builds would apply the same commands
+ * differently, so it is used only once the leader has raised `Fleet.featureLevel`, see `FeatureLevelUpgrade`. At level 1
+ * roll-outs have an id, and a service may be rolled out to a version that was a target before.
+ */
+export const FEATURE_LEVEL = 1;
+
+/** Finished roll-outs that are kept for each service, besides the one to the version in use. */
+const MAX_FINISHED_ROLLOUTS = 16;
+
 export const rolloutSchema = z.object({
+    /** Index of the log entry that started it. Undefined for those of feature level 0. */
+    id: z.number().optional(),
     service: z.string(),
     /** The version that is rolled out. */
     target: z.string(),
@@ -26,6 +38,8 @@
 export const fleetSchema = z.object({
     /** Increases with every change. */
     revision: z.number(),
+    /** Level of the behaviour that all instances have, up to `FEATURE_LEVEL`. */
+    featureLevel: z.number().default(0),
     /** Version of the declared configuration; -1 until one is declared. */
     configVersion: z.number(),
     /** The declared configuration as the operator sent it; empty until one is declared. */
@@ -51,9 +65,16 @@
         target: z.string(),
         durationMs: z.number(),
         orderedAt: z.number(),
+        /**
+         * Id of the service's newest roll-out that was known to the instance which received the order; 0 for none, or for
+         * one without an id. If another one has started since, the order is outdated. Undefined at feature level 0.
+         */
+        newestKnownId: z.number().optional(),
     }),
     z.object({
         kind: z.literal("moveRollout"),
+        /** Id of the roll-out; undefined for one without an id. */
+        id: z.number().optional(),
         service: z.string(),
         target: z.string(),
         state: rolloutSchema.shape.state,
@@ -61,13 +82,18 @@
     }),
     z.object({ kind: z.literal("drainDomain"), domain: z.string(), knownRevision: knownRevisionSchema }),
     z.object({ kind: z.literal("restoreDomain"), domain: z.string(), knownRevision: knownRevisionSchema }),
+    z.object({ kind: z.literal("raiseFeatureLevel"), level: z.number() }),
 ]);
 
 /** A change requested by an operator or by the leader. Commands are idempotent. */
 export type FleetCommand = z.infer<typeof commandSchema>;
 
+/** An order to roll out a version. */
+export type StartRolloutCommand = FleetCommand & { readonly kind: "startRollout"; };
+
 export const emptyFleet: Fleet = {
     revision: 0,
+    featureLevel: 0,
     configVersion: -1,
     configText: "",
     rollouts: [],
@@ -93,7 +119,8 @@
             // The log's own commands, and commands of a later version of the program, don't change this state.
             return {};
         }
-        const next = applyCommand(this.current, parsed.data);
+        const isOutdated = parsed.data.kind === "startRollout" && isOutdatedRollout(this.current, parsed.data);
+        const next = isOutdated ? this.current : applyCommand(this.current, parsed.data, index);
         if (next !== this.current) {
             if (next.drainedDomains !== this.current.drainedDomains) {
                 this.drainedDomainsRevision = index;
@@ -101,17 +128,20 @@
             this.current = { ...next, revision: index };
             this.changed.fire(this.current);
         }
-        return { revision: this.current.revision };
+        return { revision: this.current.revision, isOutdated };
     }
 
     public isOutdated(command: Command): boolean {
         const { data } = commandSchema.safeParse(command);
+        if (data?.kind === "startRollout") {
+            return isOutdatedRollout(this.current, data);
+        }
         if (data?.kind !== "drainDomain" && data?.kind !== "restoreDomain") {
             return false;
         }
         const { knownRevision = Infinity } = data;
         // An order that changes nothing is accepted again, as its first confirmation may have been lost.
-        return knownRevision < this.drainedDomainsRevision && applyCommand(this.current, data) !== this.current;
+        return knownRevision < this.drainedDomainsRevision && applyCommand(this.current, data, 0) !== this.current;
     }
 
     public snapshot(): Record<string, unknown> {
@@ -125,15 +155,15 @@
     }
 }
 
-/** Returns the state after a command; the same object when nothing changes. */
-const applyCommand = (fleet: Fleet, command: FleetCommand): Fleet => {
+/** Returns the state after a command with this index in the log; the same object when nothing changes. */
+const applyCommand = (fleet: Fleet, command: FleetCommand, index: number): Fleet => {
     switch (command.kind) {
         case "declare":
             return command.version > fleet.configVersion
                 ? { ...fleet, configVersion: command.version, configText: command.text }
                 : fleet;
         case "startRollout":
-            return startRollout(fleet, command);
+            return startRollout(fleet, command, index);
         case "moveRollout":
             return moveRollout(fleet, command);
         case "drainDomain":
@@ -144,29 +174,68 @@
             return fleet.drainedDomains.includes(command.domain)
                 ? { ...fleet, drainedDomains: fleet.drainedDomains.filter(domain => domain !== command.domain) }
                 : fleet;
+        case "raiseFeatureLevel":
+            return command.level > fleet.featureLevel ? { ...fleet, featureLevel: command.level } : fleet;
     }
 };
 
-const startRollout = (fleet: Fleet, command: FleetCommand & { kind: "startRollout"; }): Fleet => {
-    const { service, target, durationMs, orderedAt } = command;
-    if (fleet.rollouts.some(rollout => rollout.service === service && rollout.target === target)) {
+/**
+ * Whether an order must not take effect, as another roll-out has started after it was given. At feature level 0 a service
+ * can't be rolled out again to a version that was a target before: the order would be confirmed without effect.
+ */
+const isOutdatedRollout = (fleet: Fleet, { service, target, newestKnownId }: StartRolloutCommand): boolean => {
+    if (isInForce(fleet, service, target)) {
+        return false;
+    }
+    return newestKnownId === undefined
+        ? fleet.rollouts.some(rollout => rollout.service === service && rollout.target === target)
+        : (latestRollout(fleet, service)?.id ?? 0) !== newestKnownId;
+};
+
+const startRollout = (fleet: Fleet, command: StartRolloutCommand, index: number): Fleet => {
+    const { service, target, durationMs, orderedAt, newestKnownId } = command;
+    if (isInForce(fleet, service, target)) {
         return fleet;
     }
     const rollout: Rollout = { service, target, durationMs, orderedAt, state: "running", share: 0 };
-    return { ...fleet, rollouts: [...fleet.rollouts, rollout] };
+    if (newestKnownId === undefined) {
+        return { ...fleet, rollouts: [...fleet.rollouts, rollout] };
+    }
+    // Instances of earlier builds find a roll-out by its service and target, so there is one for each pair.
+    const others = fleet.rollouts.filter(other => other.service !== service || other.target !== target);
+    return { ...fleet, rollouts: [...dropOldest(others, service), { id: index, ...rollout }] };
+};
+
+/** Drops finished roll-outs of the service that no rule needs any more. */
+const dropOldest = (rollouts: readonly Rollout[], service: string): Rollout[] => {
+    const inUse = latestCompleted(rollouts, service);
+    const finished = rollouts.filter(rollout =>
+        rollout.service === service && rollout.state !== "running" && rollout !== inUse
+    );
+    const dropped = new Set(finished.slice(0, -MAX_FINISHED_ROLLOUTS));
+    return rollouts.filter(rollout => !dropped.has(rollout));
 };
 
 const moveRollout = (fleet: Fleet, command: FleetCommand & { kind: "moveRollout"; }): Fleet => {
-    const { service, target, state, share } = command;
+    const { id, service, target, state, share } = command;
     const index = fleet.rollouts.findIndex(rollout => rollout.service === service && rollout.target === target);
     const rollout = fleet.rollouts[index];
     // A completed or rolled back roll-out is final: operators may already have read its outcome.
-    if (rollout === undefined || rollout.state !== "running") {
+    if (rollout === undefined || rollout.id !== id || rollout.state !== "running") {
         return fleet;
     }
     return { ...fleet, rollouts: fleet.rollouts.with(index, { ...rollout, state, share }) };
 };
 
+/** Whether the service's newest roll-out leads to the version, or has led to it. */
+export const isInForce = (fleet: Fleet, service: string, target: string): boolean => {
+    const newest = latestRollout(fleet, service);
+    return newest?.target === target && newest.state !== "rolledBack";
+};
+
+const latestCompleted = (rollouts: readonly Rollout[], service: string): Rollout | undefined =>
+    rollouts.findLast(rollout => rollout.service === service && rollout.state === "completed");
+
 /** The roll-out of the service that was started last. */
 export const latestRollout = (fleet: Fleet, service: string): Rollout | undefined =>
     fleet.rollouts.findLast(rollout => rollout.service === service);
--- a/src/common/gateway/RolloutController.ts
+++ b/src/common/gateway/RolloutController.ts
@@ -40,7 +40,10 @@
     }
 
     private tick(): void {
-        for (const rollout of this.deps.fleet().rollouts) {
+        const { rollouts } = this.deps.fleet();
+        const keys = new Set(rollouts.map(keyOf));
+        [...this.orderedAt.keys()].filter(key => !keys.has(key)).forEach(key => this.orderedAt.delete(key));
+        for (const rollout of rollouts) {
             const elapsedMs = this.elapsedOf(rollout);
             if (rollout.state === "running" && this.deps.isLeader()) {
                 this.advance(rollout, elapsedMs);
@@ -54,7 +57,7 @@
      */
     private elapsedOf(rollout: Rollout): number {
         const { clock } = this.deps;
-        const key = `${rollout.service} ${rollout.target}`;
+        const key = keyOf(rollout);
         const now = clock.monotonic();
         const orderedAt = this.orderedAt.get(key) ?? now - Math.max(0, clock.now() - rollout.orderedAt);
         this.orderedAt.set(key, orderedAt);
@@ -63,15 +66,15 @@
 
     private advance(rollout: Rollout, elapsedMs: number): void {
         const { outcomes, schedule } = this.deps;
-        const { service, target } = rollout;
-        const key = `${service} ${target}`;
+        const { id, service, target } = rollout;
+        const key = keyOf(rollout);
         const step = planRolloutStep(rollout, elapsedMs, this.hasReadyTarget(rollout), outcomes(), schedule);
         if (step === undefined || this.pendingSteps.has(key)) {
             return;
         }
         this.pendingSteps.add(key);
         this.deps.onStep(rollout, step);
-        this.deps.submit({ kind: "moveRollout", service, target, state: step.state, share: step.share })
+        this.deps.submit({ kind: "moveRollout", id, service, target, state: step.state, share: step.share })
             .catch(() => undefined)
             .finally(() => this.pendingSteps.delete(key));
     }
@@ -85,3 +88,6 @@
         return false;
     }
 }
+
+/** Identifies a roll-out among those of the fleet, also one to a version that was a target before. */
+const keyOf = ({ id, service, target }: Rollout): string => `${id} ${service} ${target}`;
--- a/src/common/peers/PeerCalls.ts
+++ b/src/common/peers/PeerCalls.ts
@@ -159,6 +159,8 @@
             entriesVersion: z.number().default(0),
             /** Version of the held sessions that the sender has; undefined if it needs the whole list. */
             heldSessionsVersion: z.number().optional(),
+            /** Feature level of the fleet that the sender supports. */
+            featureLevel: z.number().default(0),
         }),
         reply: z.object({
             epoch: z.string(),
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -6,10 +6,12 @@
 import { ControlLog } from "../../common/control/ControlLog.ts";
 import { type LogStore } from "../../common/control/LogStore.ts";
 import { routerError } from "../../common/errors/RouterError.ts";
+import { FeatureLevelUpgrade } from "../../common/gateway/FeatureLevelUpgrade.ts";
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
 import { type Fleet, type FleetCommand, FleetState } from "../../common/gateway/FleetState.ts";
 import { RolloutController } from "../../common/gateway/RolloutController.ts";
+import { RolloutOrders } from "../../common/gateway/RolloutOrders.ts";
 import { createRolloutSchedule } from "../../common/gateway/RolloutPlan.ts";
 import { UpstreamDirectory } from "../../common/gateway/UpstreamDirectory.ts";
 import { addressOf, type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
@@ -53,6 +55,8 @@
     readonly random: () => number;
     /** Largest share of a service's requests that a bad version may get over a roll-out, 0 to 1. */
     readonly maxRolloutExposure: number;
+    /** Longest time for which an operator sends an order again while its confirmation is missing, in ms. */
+    readonly orderRepeatMs: number;
 }
 
 /** The control role of one process. */
@@ -65,6 +69,8 @@
     private readonly statements: UpstreamStatements;
     private readonly follower: FleetFollower;
     private readonly publisher: FleetPublisher;
+    private readonly rolloutOrders: RolloutOrders;
+    private readonly featureLevelUpgrade: FeatureLevelUpgrade;
     private readonly monitor: ControlLogMonitor;
 
     public constructor(deps: GatewayControlRoleDependencies) {
@@ -116,8 +122,23 @@
                 outcomes: () => this.publisher.outcomes,
                 schedule: createRolloutSchedule(deps.maxRolloutExposure),
                 submit: command => this.client.submit(command, SUBMIT_TIMEOUT_MS),
-                onStep: ({ service, target, state, share }, move) =>
-                    log.info("A roll-out moves on.", { service, target, from: { state, share }, to: move }),
+                onStep: ({ id, service, target, state, share }, move) =>
+                    log.info("A roll-out moves on.", { id, service, target, from: { state, share }, to: move }),
+            }),
+        );
+        this.rolloutOrders = this.register(
+            new RolloutOrders({ clock, fleet: () => this.fleet, repeatMs: deps.orderRepeatMs }),
+        );
+        this.featureLevelUpgrade = this.register(
+            new FeatureLevelUpgrade({
+                clock,
+                self: network.self,
+                isLeader: () => this.isLeader,
+                fleet: () => this.fleet,
+                voters: () => this.controlLog.status.voters,
+                supportedLevels: () => this.publisher.supportedLevels,
+                submit: command => this.client.submit(command, SUBMIT_TIMEOUT_MS),
+                onMissing: instances => log.info("The feature level can be raised by all but these.", { instances }),
             }),
         );
         this.register(this.createVoterReconciler());
@@ -212,13 +233,20 @@
         await sleep(this.deps.clock, PROPAGATION_MS);
     }
 
-    /** Resolves when the change is committed. Rejects with `noMajority` if that can't be determined. */
+    /**
+     * Resolves when the change is committed. Rejects with `noMajority` if that can't be determined, with `sheetOutdated` if a
+     * later change has replaced it, and with `repetitionUnclear` as `RolloutOrders` says.
+     */
     public async submitChange(command: FleetCommand): Promise<void> {
         const startedAt = this.deps.clock.monotonic();
         const details = { kind: command.kind, ...describeCommand(command) };
         const knownRevision = this.fleet.revision;
         try {
-            const { index, outcome } = await this.client.submit({ ...command, knownRevision }, SUBMIT_TIMEOUT_MS);
+            const admitted = command.kind === "startRollout" ? this.rolloutOrders.admit(command) : command;
+            const { index, outcome } = await this.client.submit({ ...admitted, knownRevision }, SUBMIT_TIMEOUT_MS);
+            if (outcome["isOutdated"] === true) {
+                throw routerError("another roll-out began first", { code: "sheetOutdated", step: "roll out" });
+            }
             const ms = Math.round(this.deps.clock.monotonic() - startedAt);
             const isChange = outcome["revision"] === index;
             this.deps.log.info("A change is committed.", { ...details, index, isChange, ms });
@@ -261,7 +289,7 @@
             voters: () => this.controlLog.status.voters,
             reachability: () => ({
                 self: network.self,
-                reachable: [network.self, ...this.reachableControls],
+                reachable: this.votersAndSupporters([network.self, ...this.reachableControls]),
                 lost: this.follower.silentControls(LOST_AFTER_MS),
             }),
             propose: command => this.controlLog.propose(command),
@@ -270,6 +298,12 @@
         });
     }
 
+    /** Of these control instances, the voters and those that may become one. */
+    private votersAndSupporters(controls: readonly string[]): string[] {
+        const { voters } = this.controlLog.status;
+        return controls.filter(id => voters.includes(id) || this.featureLevelUpgrade.supports(id));
+    }
+
     private subscribe(): void {
         const { network, log, clock } = this.deps;
         this.register(network.handle("watchFleet", (req, from) => {
--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -158,6 +158,7 @@
             isBootstrap: bootstrap,
             random: Math.random,
             maxRolloutExposure: settings.bounds.rollout_exposure,
+            orderRepeatMs: settings.bounds.order_repeat_ms,
         });
         this.control = control;
         this.lifecycle.add(createComponent("control", () => control.start(), async () => {
--- a/src/node/gateway/GatewaySettings.ts
+++ b/src/node/gateway/GatewaySettings.ts
@@ -68,6 +68,9 @@
         rollout_exposure: number(0, 0.15, 1).describe(
             "Largest share of a service's requests that a bad version may get during a roll-out.",
         ),
+        order_repeat_ms: number(0, 4000).describe(
+            "Longest time for which an operator sends an order again while its confirmation is missing, in ms.",
+        ),
         retry_window_s: number(0.1, 10).describe("Length of the retry window, in s."),
     }).prefault({}),
     log: z.object({
--- a/src/node/gateway/WarmUp.ts
+++ b/src/node/gateway/WarmUp.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, createServer, type IncomingMessage, request, type RequestListener, type Server } from "node:http";
 import { type AddressInfo } from "node:net";
+import { emptyFleet } from "../../common/gateway/FleetState.ts";
 import { type UpstreamRecord } from "../../common/gateway/UpstreamRecord.ts";
 import { DisposableOwner, toDisposable } from "../../common/lifecycle/Disposable.ts";
 import { type PeerCallName, type PeerReply } from "../../common/peers/PeerCalls.ts";
@@ -150,7 +151,7 @@
 /** The network of a role that knows one control instance, which knows one upstream. */
 const createNetwork = (clock: Clock, record: UpstreamRecord, configText: string): PeerNetwork => {
     const epoch = "warm-up";
-    const fleet = { revision: 1, configVersion: 1, configText, drainedDomains: [], rollouts: [] };
+    const fleet = { ...emptyFleet, revision: 1, configVersion: 1, configText };
     const watch = async (since: number): Promise<PeerReply<"watchFleet">> => {
         if (since > 0) {
             await sleep(clock, HOLD_MS);
