A roll-out is judged by what its version has answered since the order

What callers saw: EXPOSURE, and a false 'completed' after which the sound engines stop. After v2 was completed, v1 was ordered again, whose engines now failed each request; the roll-out was completed instead of rolled back. The other way round, a version that had been rolled back and was mended was rolled back at its first look. Cause: entry instances count outcomes by version since the start of their process, so that what a version answered before the order counted for its verdict, and what a rolled back version answered counted for the versions in use.

Each roll-out starts the counts of its target anew; they name the roll-out, so that the leader leaves out reports of instances that don't know it yet. Requests that arrived before the order aren't counted. The target is compared with the version in use, and as long as no roll-out was completed with the versions that were not rolled back. Instances of earlier builds don't name the roll-out; they aren't in service at feature level 1, and below it all is as before.

Tests: RolloutController.test.ts, a leader and an entry instance with upstreams; all three failed before ('completed v1' instead of 'rolledBack v1', and the others at their first assertion).

--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -233,6 +233,10 @@
     return newest?.target === target && newest.state !== "rolledBack";
 };
 
+/** Version to which the service was rolled out completely last; undefined if that never happened. */
+export const versionInUse = ({ rollouts }: Fleet, service: string): string | undefined =>
+    latestCompleted(rollouts, service)?.target;
+
 const latestCompleted = (rollouts: readonly Rollout[], service: string): Rollout | undefined =>
     rollouts.findLast(rollout => rollout.service === service && rollout.state === "completed");
 
--- a/src/common/gateway/OutcomeCounters.ts
+++ b/src/common/gateway/OutcomeCounters.ts
@@ -1,8 +1,9 @@
 /**
  * Counts the outcomes of requests by service, version and route. Entry instances report totals since the start of
- * their process, so that a lost or duplicated report does no harm.
+ * their process, or since the newest roll-out to the version, so that a lost or duplicated report does no harm.
  */
 import * as z from "zod";
+import { type Rollout } from "./FleetState.ts";
 import { addTime, sumHistograms } from "./TimeHistogram.ts";
 
 export const routeOutcomeCountsSchema = z.object({
@@ -24,6 +25,8 @@
     latencies: z.array(z.number()).default([]),
     /** Median times between the events of a stream, as a `TimeHistogram` with one time for each stream. */
     paces: z.array(z.number()).default([]),
+    /** Id of the roll-out to the version since which these are counted; undefined for the start of the process. */
+    rollout: z.number().optional(),
 });
 
 /** Outcome counts of one version on one route. */
@@ -34,6 +37,39 @@
 /** Outcome counts of this instance. */
 export class OutcomeCounters {
     private readonly counts = new Map<string, MutableCounts>();
+    /** The newest roll-out to each version, by service and version. */
+    private readonly rollouts = new Map<string, { readonly id: number; readonly knownAt: number; }>();
+
+    /**
+     * Starts anew the counts of each version to which a new roll-out leads: what the version answered before says nothing
+     * about it now.
+     *
+     * @param now boot time, in ms
+     */
+    public startRollouts(rollouts: readonly Rollout[], now: number): void {
+        for (const { id, service, target } of rollouts) {
+            const key = versionKeyOf(service, target);
+            if (id === undefined || id === this.rollouts.get(key)?.id) {
+                continue;
+            }
+            this.rollouts.set(key, { id, knownAt: now });
+            for (const [countKey, count] of this.counts) {
+                if (count.service === service && count.version === target) {
+                    this.counts.delete(countKey);
+                }
+            }
+        }
+    }
+
+    /**
+     * Whether the outcome of a request counts for the version on which it ran: not if it arrived before the newest roll-out to
+     * that version.
+     *
+     * @param arrivedAt boot time, in ms
+     */
+    public isCounted(service: string, version: string, arrivedAt: number): boolean {
+        return arrivedAt >= (this.rollouts.get(versionKeyOf(service, version))?.knownAt ?? -Infinity);
+    }
 
     /** Counts an answer. `latencyMs` is undefined for a failure or when the latency was not measured. */
     public record(service: string, version: string, route: string, isFailure: boolean, latencyMs?: number): void {
@@ -63,15 +99,17 @@
     }
 
     private countOf(service: string, version: string, route: string): MutableCounts {
-        const key = keyOf({ service, version, route });
+        const rollout = this.rollouts.get(versionKeyOf(service, version))?.id;
+        const key = keyOf({ service, version, route, rollout });
         const existing = this.counts.get(key);
         if (existing !== undefined) {
             return existing;
         }
-        const count = {
+        const count: MutableCounts = {
             service,
             version,
             route,
+            rollout,
             answers: 0,
             failures: 0,
             timed: 0,
@@ -84,8 +122,11 @@
     }
 }
 
-const keyOf = ({ service, version, route }: Pick<RouteOutcomeCounts, "service" | "version" | "route">): string =>
-    `${service}\n${version}\n${route}`;
+const keyOf = (
+    { service, version, route, rollout }: Pick<RouteOutcomeCounts, "service" | "version" | "route" | "rollout">,
+): string => `${service}\n${version}\n${route}\n${rollout}`;
+
+const versionKeyOf = (service: string, version: string): string => `${service}\n${version}`;
 
 const copyOf = (count: RouteOutcomeCounts): MutableCounts => ({
     ...count,
--- /dev/null
+++ b/src/common/gateway/RolloutController.test.ts
@@ -0,0 +1,146 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../../../addons/fakes/SeededRandom.ts";
+import { DisposableOwner } from "../lifecycle/Disposable.ts";
+import { repeat } from "../time/Clock.ts";
+import { ManualClock } from "../time/ManualClock.ts";
+import { FleetState, latestRollout } from "./FleetState.ts";
+import { followerReport } from "./FollowerReport.ts";
+import { OutcomeCounters } from "./OutcomeCounters.ts";
+import { RolloutController } from "./RolloutController.ts";
+import { createRolloutSchedule } from "./RolloutPlan.ts";
+import { SessionVersions } from "./SessionVersions.ts";
+import { UpstreamDirectory } from "./UpstreamDirectory.ts";
+import { versionRule } from "./VersionRule.ts";
+
+const SERVICE = "s";
+const DURATION_MS = 6000;
+const REQUEST_INTERVAL_MS = 10;
+const LATENCY_MS = 40;
+const schedule = createRolloutSchedule(0.15);
+const newSession = { lastVersion: undefined, isPinned: false };
+
+/** A leader and an entry instance that serves requests, with upstreams of some versions, all without delays. */
+class Deployment extends DisposableOwner {
+    public readonly clock = new ManualClock(1_000_000);
+    public readonly state = new FleetState();
+    /** Versions that answer each request with a failure. */
+    public readonly badVersions = new Set<string>();
+    /** Requests by the version on which they ran. */
+    public readonly served = new Map<string, number>();
+    private readonly versions: readonly string[];
+    private readonly counters = new OutcomeCounters();
+    private readonly random = new SeededRandom(1);
+    private index = 0;
+
+    public constructor(...versions: readonly string[]) {
+        super();
+        const { clock, state, counters } = this;
+        this.versions = versions;
+        const directory = new UpstreamDirectory(clock);
+        const sessions = new SessionVersions(clock, 0);
+        versions.forEach((version, port) =>
+            directory.merge({
+                id: version,
+                start: 1,
+                seq: 1,
+                service: SERVICE,
+                host: "10.0.0.1",
+                port,
+                domain: "a",
+                version,
+                slots: 4,
+                state: "ready",
+                coldMs: 0,
+            }, 0)
+        );
+        this.register(state.onChanged(({ rollouts }) => counters.startRollouts(rollouts, clock.boottime())));
+        this.register(
+            new RolloutController({
+                clock,
+                isLeader: () => true,
+                fleet: () => state.fleet,
+                directory,
+                outcomes: () => [...followerReport(state.fleet, counters, sessions, schedule.canaryShare).outcomes],
+                schedule,
+                submit: async command => this.commit(command),
+                onStep: () => undefined,
+            }),
+        );
+        this.register(repeat(clock, REQUEST_INTERVAL_MS, () => this.serve()));
+    }
+
+    public get outcome(): string {
+        const rollout = latestRollout(this.state.fleet, SERVICE);
+        return `${rollout?.state} ${rollout?.target}`;
+    }
+
+    /** @param orderedAt time of day at the instance that received the order, in ms */
+    public order(target: string, orderedAt = this.clock.now()): void {
+        const newestKnownId = latestRollout(this.state.fleet, SERVICE)?.id ?? 0;
+        const order = { kind: "startRollout", service: SERVICE, target, durationMs: DURATION_MS };
+        this.commit({ ...order, orderedAt, newestKnownId });
+    }
+
+    public async run(ms: number): Promise<void> {
+        await this.clock.advanceSettled(ms, async () => {
+            await Promise.resolve();
+        });
+    }
+
+    /** Orders a roll-out and returns what becomes of it. */
+    public async rollOut(target: string): Promise<string> {
+        this.order(target);
+        await this.run(DURATION_MS);
+        return this.outcome;
+    }
+
+    private commit(command: Record<string, unknown>): void {
+        this.state.apply(command, ++this.index);
+    }
+
+    private serve(): void {
+        const rule = versionRule(this.state.fleet, SERVICE, `${this.random.next()}`, newSession);
+        const allowed = this.versions.filter(version => rule.isAllowed(version));
+        const preferred = allowed.filter(version => rule.isPreferred(version));
+        const version = this.random.pick(preferred.length > 0 ? preferred : [...allowed, "none"]);
+        this.served.set(version, (this.served.get(version) ?? 0) + 1);
+        const isBad = this.badVersions.has(version);
+        this.counters.record(SERVICE, version, "r", isBad, isBad ? undefined : LATENCY_MS);
+    }
+}
+
+const withDeployment = async (
+    versions: readonly string[],
+    run: (deployment: Deployment) => Promise<void>,
+): Promise<void> => {
+    const deployment = new Deployment(...versions);
+    await deployment.run(10_000);
+    await run(deployment);
+    deployment.dispose();
+};
+
+// EXPOSURE: what the version had answered while it was in use outweighed its failures, and it was completed.
+test("a version that was good while it was in use is rolled back if it fails when it is rolled out again", () =>
+    withDeployment(["v1", "v2"], async deployment => {
+        assert.equal(await deployment.rollOut("v2"), "completed v2");
+        await deployment.run(10_000);
+        deployment.badVersions.add("v1");
+        assert.equal(await deployment.rollOut("v1"), "rolledBack v1");
+    }));
+
+test("a version that was rolled back for its failures is completed once it is mended", () =>
+    withDeployment(["v1", "v3"], async deployment => {
+        deployment.badVersions.add("v3");
+        assert.equal(await deployment.rollOut("v3"), "rolledBack v3");
+        deployment.badVersions.delete("v3");
+        assert.equal(await deployment.rollOut("v3"), "completed v3");
+    }));
+
+// EXPOSURE: the failures of a version that had been rolled back made those of the next bad one look usual.
+test("a bad version is rolled back after another bad one", () =>
+    withDeployment(["v1", "v3", "v4"], async deployment => {
+        deployment.badVersions.add("v3").add("v4");
+        assert.equal(await deployment.rollOut("v3"), "rolledBack v3");
+        assert.equal(await deployment.rollOut("v4"), "rolledBack v4");
+    }));
--- a/src/common/gateway/RolloutController.ts
+++ b/src/common/gateway/RolloutController.ts
@@ -6,7 +6,7 @@
 import { type Clock, repeat } from "../time/Clock.ts";
 import { type Fleet, type FleetCommand, type Rollout } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
-import { planRolloutStep, type RolloutSchedule, type RolloutStep } from "./RolloutPlan.ts";
+import { planRolloutStep, type RolloutSchedule, type RolloutStep, selectOutcomes } from "./RolloutPlan.ts";
 import { type UpstreamDirectory } from "./UpstreamDirectory.ts";
 
 /** Interval at which the roll-outs are checked, in ms. */
@@ -65,10 +65,11 @@
     }
 
     private advance(rollout: Rollout, elapsedMs: number): void {
-        const { outcomes, schedule } = this.deps;
+        const { fleet, outcomes, schedule } = this.deps;
         const { id, service, target } = rollout;
         const key = keyOf(rollout);
-        const step = planRolloutStep(rollout, elapsedMs, this.hasReadyTarget(rollout), outcomes(), schedule);
+        const counts = selectOutcomes(fleet(), rollout, outcomes());
+        const step = planRolloutStep(rollout, elapsedMs, this.hasReadyTarget(rollout), counts, schedule);
         if (step === undefined || this.pendingSteps.has(key)) {
             return;
         }
--- a/src/common/gateway/RolloutPlan.ts
+++ b/src/common/gateway/RolloutPlan.ts
@@ -6,7 +6,7 @@
  * Therefore all sessions move so late that even a bad version that is never detected stays within its exposure limit
  * over the whole roll-out.
  */
-import { type Rollout } from "./FleetState.ts";
+import { type Fleet, type Rollout, versionInUse } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
 import { countFrom, countTimes, outlierBucket, sumHistograms } from "./TimeHistogram.ts";
 
@@ -68,6 +68,28 @@
 /** A change of a running roll-out, with its reason for the log. */
 export type RolloutStep = Pick<Rollout, "state" | "share"> & { readonly reason: string; };
 
+/**
+ * Selects the counts that say something about a roll-out: those of its target since it began, and those of the version in
+ * use. While that is not known, any version that was not rolled back may be in use.
+ */
+export const selectOutcomes = (
+    fleet: Fleet,
+    { id, service, target }: Rollout,
+    counts: readonly RouteOutcomeCounts[],
+): RouteOutcomeCounts[] => {
+    const inUse = versionInUse(fleet, service);
+    const isBaseline = (version: string): boolean =>
+        inUse === undefined
+            ? !fleet.rollouts.some(other =>
+                other.service === service && other.target === version && other.state === "rolledBack"
+            )
+            : version === inUse;
+    return counts.filter(count =>
+        count.service === service
+        && (count.version === target ? id === undefined || count.rollout === id : isBaseline(count.version))
+    );
+};
+
 /**
  * Returns the next step of a running roll-out; undefined while none is due.
  *
--- a/src/node/gateway/GatewayEntryRole.ts
+++ b/src/node/gateway/GatewayEntryRole.ts
@@ -29,6 +29,7 @@
 import { reportBrokenRun } from "./BrokenRuns.ts";
 import { QUARANTINED } from "./Call.ts";
 import { CallerHandler } from "./CallerHandler.ts";
+import { CallOutcomes } from "./CallOutcomes.ts";
 import { createColdUpstreams } from "./ColdUpstreamReports.ts";
 import { EngineMemory } from "./EngineMemory.ts";
 import { createConnections, createRelayServer } from "./EntryConnections.ts";
@@ -84,6 +85,7 @@
     private readonly cold: ColdUpstreams;
     private readonly selector: UpstreamSelector;
     private readonly outcomes = new OutcomeCounters();
+    private readonly callOutcomes = new CallOutcomes(this.outcomes);
     private readonly sessions: SessionVersions;
     private readonly canaryShare: number;
     private readonly crashObserver: CrashObserver;
@@ -192,7 +194,7 @@
                 permits: this.permits,
                 reservations: this.engineMemory.reservations,
                 sessions: this.sessions,
-                outcomes: this.outcomes,
+                outcomes: this.callOutcomes,
                 fleet: () => this.follower.fleet,
                 hasLease: () => this.hasLease,
                 isRemoved: name => this.routeTable?.hasService(name) === false && !this.directory.hasReady(name),
@@ -328,15 +330,12 @@
                 onConnectionClosed: (...run) =>
                     void reportBrokenRun({ ...this.deps, directory, connections, observer, cold }, ...run),
                 onUnreached: ({ record: { id } }) => cold.recordUnreached(id),
-                onResponse: (call, { record }, latencyMs) =>
-                    this.outcomes.record(call.service.name, record.version, call.route.name, false, latencyMs),
+                onResponse: (...response) => this.callOutcomes.recordResponse(...response),
                 sendObstacle: ({ keys }, upstream) => this.findSendObstacle(keys, upstream),
                 onStatement: (selection, head) => this.recordStatement(selection, head),
                 onLateStatement: ({ name }, head) => this.notices.recordNotice(name, head),
-                onUnanswered: (call, { record }, waitedMs) =>
-                    this.outcomes.recordUnanswered(call.service.name, record.version, call.route.name, waitedMs),
-                onPace: (call, { record }, paceMs) =>
-                    this.outcomes.recordPace(call.service.name, record.version, call.route.name, paceMs),
+                onUnanswered: (...attempt) => this.callOutcomes.recordUnanswered(...attempt),
+                onPace: (...stream) => this.callOutcomes.recordPace(...stream),
             }),
         );
     }
@@ -436,6 +435,7 @@
             }
         }
         this.cold.updateDrainedDomains(drainedDomains);
+        this.outcomes.startRollouts(rollouts, this.deps.clock.boottime());
         log.info("A revision of the fleet is in force here.", { revision, version, rollouts, drainedDomains });
     }
 
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -5,7 +5,6 @@
  */
 import { type CallKeys } from "../../common/gateway/CallKeys.ts";
 import { type ExchangeCodec, type UpstreamLoad } from "../../common/gateway/ExchangeCodec.ts";
-import { type OutcomeCounters } from "../../common/gateway/OutcomeCounters.ts";
 import { type ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
@@ -27,6 +26,7 @@
     QUARANTINED,
     remainingMs,
 } from "./Call.ts";
+import { type CallOutcomes } from "./CallOutcomes.ts";
 import { type UpstreamAttempts } from "./UpstreamAttempts.ts";
 import { RETRY_AFTER_MS } from "./UpstreamObstacles.ts";
 
@@ -45,7 +45,7 @@
     readonly codec: ExchangeCodec;
     readonly attempts: UpstreamAttempts;
     readonly budget: ServiceRetryBudget;
-    readonly outcomes: OutcomeCounters;
+    readonly outcomes: CallOutcomes;
     readonly isQuarantined: (keys: CallKeys) => boolean;
 }
 
@@ -250,7 +250,7 @@
         state.lastFailure = failure.isSuperseded === true ? state.lastFailure : failure.message;
         state.possibleRuns += failure.mayHaveRun ? 1 : 0;
         if (failure.isErrorResponse) {
-            this.recordOutcome(call, selection, true, undefined);
+            this.deps.outcomes.recordResponse(call, selection, undefined);
         }
         return state.attempts.size > 0 ? undefined : this.decideRetry(call, state, failure);
     }
@@ -313,12 +313,6 @@
             this.deps.sessions.record(req.session, service.name, selection.record.version);
         }
     }
-
-    /** Counts a response for the evaluation of versions; `latencyMs` is undefined for a failure. */
-    public recordOutcome(call: Call, selection: Selection, isFailure: boolean, latencyMs: number | undefined): void {
-        const { service, route } = call;
-        this.deps.outcomes.record(service.name, selection.record.version, route.name, isFailure, latencyMs);
-    }
 }
 
 const callerLeftResult: CallResult = { outcome: "callerLeft", status: 0, reason: "the caller has left" };
