An order to the version in use, or in place of a running roll-out, leaves the version in use in service

What callers saw: with v2 in use and v3 being tried out, an order back to v2 moved all requests to v3 (EXPOSURE if it is bad), as the target counted as new and any other version as the one in use. An order to the version in use after a roll-out was rolled back, or to the first version of a service, left no version to run on until the canary phase, and too few requests in it: all were refused. A roll-out ordered while another one was running left the first one's version among those in use. After a roll-back, upstreams of a version that was still to be rolled out got half of the requests.

The version in use is the target of the newest completed roll-out. Before the first completed roll-out the version in use isn't known; there a target is in use if the service has had no upstream of another version that wasn't rolled back.

--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -202,10 +202,17 @@
         return { ...fleet, rollouts: [...fleet.rollouts, rollout] };
     }
     // Instances of earlier builds find a roll-out by its service and target, so there is one for each pair.
-    const others = fleet.rollouts.filter(other => other.service !== service || other.target !== target);
-    return { ...fleet, rollouts: [...dropOldest(others, service), { id: index, ...rollout }] };
+    const others = fleet.rollouts
+        .filter(other => other.service !== service || other.target !== target)
+        .map(other => other.service === service ? rollBackIfRunning(other) : other);
+    const state = versionInUse(fleet, service) === target ? { state: "completed", share: 1 } as const : {};
+    return { ...fleet, rollouts: [...dropOldest(others, service), { id: index, ...rollout, ...state }] };
 };
 
+/** A running roll-out ends when another one of its service begins: the version in use is the only one to go back to. */
+const rollBackIfRunning = (rollout: Rollout): Rollout =>
+    rollout.state === "running" ? { ...rollout, state: "rolledBack", share: 0 } : rollout;
+
 /** Drops finished roll-outs of the service that no rule needs any more. */
 const dropOldest = (rollouts: readonly Rollout[], service: string): Rollout[] => {
     const inUse = latestCompleted(rollouts, service);
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -121,6 +121,16 @@
         this.index = new UpstreamIndex(deps.directory, deps.self, deps.domain);
     }
 
+    /** Whether the service has, or had within the last half minute, an upstream with a version for which `isWanted` is true. */
+    public hasVersion(service: string, isWanted: (version: string) => boolean): boolean {
+        for (const { record } of this.deps.directory.all()) {
+            if (record.service === service && isWanted(record.version)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the best upstream that may take the request now; undefined when there is none. */
     public select(req: SelectionRequest): Selection | undefined {
         if (!this.deps.upstreamStats.statesSlowdown(req.service.name)) {
--- a/src/common/gateway/VersionRule.ts
+++ b/src/common/gateway/VersionRule.ts
@@ -3,7 +3,7 @@
  * session keeps its version in the canary phase and moves to the new version together with all others.
  */
 import { hashFraction } from "../routing/Hash.ts";
-import { type Fleet, latestRollout } from "./FleetState.ts";
+import { type Fleet, latestRollout, versionInUse } from "./FleetState.ts";
 
 /** Versions for one request. */
 export interface VersionRule {
@@ -49,22 +49,33 @@
  * Returns the versions for a request.
  *
  * @param key session of the request, or the id of a request without a session
+ * @param hasUpstream whether the service has, or had lately, an upstream with a version for which the function is true
  */
-export const versionRule = (fleet: Fleet, service: string, key: string, history: SessionHistory): VersionRule => {
+export const versionRule = (
+    fleet: Fleet,
+    service: string,
+    key: string,
+    history: SessionHistory,
+    hasUpstream: (isWanted: (version: string) => boolean) => boolean = () => true,
+): VersionRule => {
+    const inUse = versionInUse(fleet, service);
     const rolledBack = fleet.rollouts
         .filter(rollout => rollout.service === service && rollout.state === "rolledBack")
         .map(rollout => rollout.target);
-    const isNotRolledBack = (version: string): boolean => !rolledBack.includes(version);
+    /** Until a roll-out is completed, any version that was not rolled back may be the one in use. */
+    const isInUse = (version: string): boolean =>
+        inUse === undefined ? !rolledBack.includes(version) : version === inUse;
     const rollout = latestRollout(fleet, service);
-    if (rollout === undefined || rollout.state === "rolledBack") {
-        return { isPreferred: isNotRolledBack, isAllowed: isNotRolledBack };
+    if (rollout === undefined || rollout.state !== "running") {
+        return { isPreferred: isInUse, isAllowed: isInUse };
     }
-    const { target, state, share } = rollout;
+    const { target, share } = rollout;
     const isTarget = (version: string): boolean => version === target;
-    if (state === "completed") {
+    const isPrevious = (version: string): boolean => version !== target && isInUse(version);
+    if (inUse === undefined && !hasUpstream(isPrevious)) {
+        // The target is the version in use already.
         return { isPreferred: isTarget, isAllowed: isTarget };
     }
-    const isPrevious = (version: string): boolean => version !== target && isNotRolledBack(version);
     const { lastVersion, isPinned } = history;
     const mustStay = share < 1 && (isPinned || (lastVersion !== undefined && lastVersion !== target));
     if (share > 0 && !mustStay && (lastVersion === target || isSelected(service, target, key, share))) {
--- a/src/node/gateway/AttemptTargets.ts
+++ b/src/node/gateway/AttemptTargets.ts
@@ -180,7 +180,14 @@
     private wantedOf(call: Call, state: CallState): SelectionRequest {
         const { req, service, route } = call;
         const key = req.session ?? req.id;
-        const rule = versionRule(this.deps.fleet(), service.name, key, this.getSessionHistory(req.session, service));
+        const history = this.getSessionHistory(req.session, service);
+        const rule = versionRule(
+            this.deps.fleet(),
+            service.name,
+            key,
+            history,
+            isWanted => this.deps.selector.hasVersion(service.name, isWanted),
+        );
         const tried = this.deps.reservations.exclude(this.reservationRequestOf(call), state.tried);
         return { service, rule, prompt: req.prompt, key: req.id, tried, model: route.models.at(state.modelIndex) };
     }
