A read of a roll-out shows no outcome that was replaced before the read

What callers saw: 'confirmed, and read back at once as rolled back'. After v3 had been rolled back, a new order for v3 was confirmed, and a control instance that had not learned of it yet gave the earlier outcome, on which the operator takes the new engines down. Cause: a read was answered by a state that a majority had confirmed up to 900 ms ago.

An outcome is now returned only if a majority has confirmed after the read began that the state is current; a running roll-out at once, as before. Voters get a confirmation every 150 ms; after 600 ms without one the answer is 503, so that another instance is asked.

--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -9,7 +9,13 @@
 import { FeatureLevelUpgrade } from "../../common/gateway/FeatureLevelUpgrade.ts";
 import { FleetFollower, type FollowerReport } from "../../common/gateway/FleetFollower.ts";
 import { FleetPublisher } from "../../common/gateway/FleetPublisher.ts";
-import { type Fleet, type FleetCommand, FleetState } from "../../common/gateway/FleetState.ts";
+import {
+    type Fleet,
+    type FleetCommand,
+    FleetState,
+    latestRollout,
+    type Rollout,
+} from "../../common/gateway/FleetState.ts";
 import { RolloutController } from "../../common/gateway/RolloutController.ts";
 import { RolloutOrders } from "../../common/gateway/RolloutOrders.ts";
 import { createRolloutSchedule } from "../../common/gateway/RolloutPlan.ts";
@@ -28,6 +34,10 @@
 const SUBMIT_TIMEOUT_MS = 850;
 /** Largest confirmation age with which `readFleet` succeeds, in ms. */
 const READ_LEASE_MS = 900;
+/** Longest time for which a read of a roll-out waits for a confirmation, in ms: voters get one every 150 ms. */
+const MAX_CONFIRMATION_WAIT_MS = 600;
+/** How often such a read looks for the confirmation, in ms. */
+const CONFIRMATION_CHECK_MS = 20;
 /** Longest time without a response at which another control instance counts as reachable, in ms: two confirmations. */
 const REACHABLE_FOR_MS = 2 * READ_LEASE_MS;
 /** Time without a response after which a control instance counts as lost, in ms: longer than a restart takes. */
@@ -276,6 +286,30 @@
         return this.fleet;
     }
 
+    /**
+     * The newest roll-out of a service. An outcome is returned only if it was current after the call began: operators act on
+     * it for good, and it may belong to an earlier roll-out to the same version. Throws `noMajority` if that can't be shown.
+     */
+    public async readRollout(service: string): Promise<Rollout | undefined> {
+        const { clock } = this.deps;
+        const calledAt = clock.boottime();
+        for (;;) {
+            const rollout = latestRollout(this.readFleet(), service);
+            const waitedMs = clock.boottime() - calledAt;
+            if (rollout?.state === "running" || this.confirmationAgeMs <= waitedMs) {
+                return rollout;
+            }
+            if (waitedMs > MAX_CONFIRMATION_WAIT_MS) {
+                throw routerError("it can't be shown in time that the outcome is current", {
+                    code: "noMajority",
+                    step: "read roll-out",
+                    retryAfterMs: CONFIRMATION_CHECK_MS,
+                });
+            }
+            await sleep(clock, CONFIRMATION_CHECK_MS);
+        }
+    }
+
     /** Other control instances that responded lately. */
     private get reachableControls(): string[] {
         return this.follower.reachableControls(REACHABLE_FOR_MS);
