--- a/src/common/gateway/RolloutOrders.ts
+++ b/src/common/gateway/RolloutOrders.ts
@@ -17,8 +17,8 @@
 const CHECK_INTERVAL_MS = 200;
 /** Longest time between two checks that counts as time in which the process ran, in ms. */
 const MAX_INTERVAL_MS = 2 * CHECK_INTERVAL_MS;
-/** Longest time that an order may be under way, in ms: operators wait for a response no longer than that. */
-const DELIVERY_MS = 1000;
+/** Longest time that an order is under way, in ms. The sender of one that takes much longer has hung up. */
+const DELIVERY_MS = 500;
 
 /** Dependencies of `RolloutOrders`. */
 export interface RolloutOrdersDependencies {
