The time since a roll-out was ordered doesn't depend on the time of day of the instance that took the order

If the clock of the instance that took the order was behind the leader's, the leader believed that the roll-out had begun earlier, moved all requests 2.4 s too early, and completed it too early, which is final. Cause: at its first look an instance took the difference of two clocks of two machines for the age of the roll-out, whether or not it had been running when it was ordered.

An instance that knows by the confirmations of a majority that there was no such roll-out up to 2 s ago takes it for new. One that was cut off goes on using the time of day, at most for the time of the cut, and one that has started since as before.

--- a/src/common/gateway/RolloutController.test.ts
+++ b/src/common/gateway/RolloutController.test.ts
@@ -28,6 +28,7 @@
     public readonly badVersions = new Set<string>();
     /** Requests by the version on which they ran. */
     public readonly served = new Map<string, number>();
+    public confirmationAgeMs = 0;
     private readonly versions: readonly string[];
     private readonly counters = new OutcomeCounters();
     private readonly random = new SeededRandom(1);
@@ -60,6 +61,7 @@
                 clock,
                 isLeader: () => true,
                 fleet: () => state.fleet,
+                confirmationAgeMs: () => this.confirmationAgeMs,
                 directory,
                 outcomes: () => [...followerReport(state.fleet, counters, sessions, schedule.canaryShare).outcomes],
                 schedule,
@@ -202,3 +204,27 @@
         assert.equal(await deployment.rollOut("v3"), "rolledBack v3");
         assert.deepEqual(await runAndList(deployment), ["v1"]);
     }));
+
+// EXPOSURE: a roll-out was promoted and completed early when the clock of the instance that took the order was behind.
+for (const skewMs of [-2400, 2400, -60_000]) {
+    test(`a roll-out keeps its schedule if its order was taken by a clock that is ${skewMs} ms off`, () =>
+        withDeployment(["v1", "v2"], async deployment => {
+            deployment.order("v2", deployment.clock.now() + skewMs);
+            await deployment.run(DURATION_MS * (schedule.promoteAt - 0.1));
+            assert.equal(latestRollout(deployment.state.fleet, SERVICE)?.share, schedule.canaryShare);
+            await deployment.run(DURATION_MS * (1.1 - schedule.promoteAt));
+            assert.equal(deployment.outcome, "completed v2");
+        }));
+}
+
+test("an instance that was cut off when a roll-out was ordered takes it for no older than that cut", () =>
+    withDeployment(["v1", "v2"], async deployment => {
+        deployment.confirmationAgeMs = DURATION_MS;
+        await deployment.run(DURATION_MS / 2);
+        deployment.order("v2", 0);
+        deployment.confirmationAgeMs = 0;
+        await deployment.run(DURATION_MS * 0.3);
+        assert.equal(latestRollout(deployment.state.fleet, SERVICE)?.share, schedule.canaryShare);
+        await deployment.run(DURATION_MS * 0.4);
+        assert.equal(deployment.outcome, "completed v2");
+    }));
--- a/src/common/gateway/RolloutController.ts
+++ b/src/common/gateway/RolloutController.ts
@@ -12,11 +12,16 @@
 /** Interval at which the roll-outs are checked, in ms. */
 const CHECK_INTERVAL_MS = 200;
 
+/** Time within which a connected instance learns of a roll-out, in ms. */
+const MAX_DISCOVERY_DELAY_MS = 2000;
+
 /** Dependencies of a roll-out controller. */
 export interface RolloutControllerDependencies {
     readonly clock: Clock;
     readonly isLeader: () => boolean;
     readonly fleet: () => Fleet;
+    /** Time since a control quorum last confirmed that there was no later revision than `fleet`, in ms. */
+    readonly confirmationAgeMs: () => number;
     readonly directory: UpstreamDirectory;
     readonly outcomes: () => readonly RouteOutcomeCounts[];
     readonly schedule: RolloutSchedule;
@@ -30,6 +35,8 @@
     private readonly deps: RolloutControllerDependencies;
     /** Monotonic time at which each roll-out was requested, in ms. */
     private readonly orderedAt = new Map<string, number>();
+    /** Boot time up to which the roll-outs seen at the last check were all there were, in ms. */
+    private completeUntil = -Infinity;
     /** Roll-outs for which a submitted step is not committed yet. */
     private readonly pendingSteps = new Set<string>();
 
@@ -40,7 +47,8 @@
     }
 
     private tick(): void {
-        const { rollouts } = this.deps.fleet();
+        const { clock, fleet, confirmationAgeMs } = this.deps;
+        const { rollouts } = fleet();
         const keys = new Set(rollouts.map(keyOf));
         [...this.orderedAt.keys()].filter(key => !keys.has(key)).forEach(key => this.orderedAt.delete(key));
         for (const rollout of rollouts) {
@@ -49,21 +57,28 @@
                 this.advance(rollout, elapsedMs);
             }
         }
+        this.completeUntil = Math.max(this.completeUntil, clock.boottime() - confirmationAgeMs());
     }
 
-    /**
-     * Time since a roll-out was requested, in ms. A process that was running at that time measures it with its
-     * monotonic clock; one that started later depends on the wall clock.
-     */
+    /** Time since a roll-out was requested, in ms, by the monotonic clock of this process since it learned of it. */
     private elapsedOf(rollout: Rollout): number {
-        const { clock } = this.deps;
+        const now = this.deps.clock.monotonic();
         const key = keyOf(rollout);
-        const now = clock.monotonic();
-        const orderedAt = this.orderedAt.get(key) ?? now - Math.max(0, clock.now() - rollout.orderedAt);
+        const orderedAt = this.orderedAt.get(key) ?? now - this.ageAtDiscovery(rollout);
         this.orderedAt.set(key, orderedAt);
         return now - orderedAt;
     }
 
+    /**
+     * Age of a roll-out of which this process has just learned, in ms. The time of day at which it was requested is another
+     * instance's, and both may be set; it is used only if this process was not running or was cut off at that time.
+     */
+    private ageAtDiscovery({ orderedAt }: Rollout): number {
+        const { clock } = this.deps;
+        const maxAgeMs = clock.boottime() - this.completeUntil;
+        return maxAgeMs <= MAX_DISCOVERY_DELAY_MS ? 0 : Math.min(maxAgeMs, Math.max(0, clock.now() - orderedAt));
+    }
+
     private advance(rollout: Rollout, elapsedMs: number): void {
         const { fleet, outcomes, schedule } = this.deps;
         const { id, service, target } = rollout;
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -129,6 +129,7 @@
                 directory: this.directory,
                 isLeader: () => this.isLeader,
                 fleet: () => this.fleet,
+                confirmationAgeMs: () => this.confirmationAgeMs,
                 outcomes: () => this.publisher.outcomes,
                 schedule: createRolloutSchedule(deps.maxRolloutExposure),
                 submit: command => this.client.submit(command, SUBMIT_TIMEOUT_MS),
