A version that was withdrawn and restored is evaluated anew

What callers saw (the product's own interface, by a test): a bad version that an operator restores is never withdrawn again, however many answers fail.

A version that comes into roll-out, for the first time or again, starts with no mark, no evidence and new counts on each instance; what the leader has already been told of it is its starting point.

--- a/src/common/policy/RolloutMonitor.ts
+++ b/src/common/policy/RolloutMonitor.ts
@@ -49,7 +49,7 @@
 /** Monitor of all roll-outs. */
 export class RolloutMonitor extends DisposableOwner {
     private readonly deps: RolloutMonitorDependencies;
-    /** Outcomes on this instance since the start of the process, by version and kind. */
+    /** Outcomes on this instance, by version and kind, since the version came into roll-out or the process started. */
     private readonly localCounts = new Map<
         string,
         { version: string; kind: BadOutcomeKind; total: number; bad: number; }
@@ -62,6 +62,8 @@
     private readonly evaluated = new Map<string, OutcomeCount>();
     private readonly evaluators = new Map<string, VersionEvaluator>();
     private readonly withdrawing = new Set<string>();
+    /** Versions that were in roll-out at the last check. */
+    private inRollout: ReadonlySet<string> = new Set();
 
     public constructor(deps: RolloutMonitorDependencies) {
         super();
@@ -102,6 +104,11 @@
     }
 
     private reportAndEvaluate(): void {
+        const inRollout = new Set(this.versionsInRollout().map(version => version.key));
+        [...inRollout].filter(version => !this.inRollout.has(version)).forEach(version =>
+            this.startEvaluation(version)
+        );
+        this.inRollout = inRollout;
         const counts = this.rolloutCounts();
         if (counts.length > 0) {
             this.report(counts);
@@ -111,6 +118,21 @@
         }
     }
 
+    /**
+     * Begins a new evaluation of a version that has come into roll-out, for the first time or again: what it did before, and
+     * that it was withdrawn for it, says nothing about what it is now.
+     */
+    private startEvaluation(version: string): void {
+        this.withdrawing.delete(version);
+        for (const kind of badOutcomeKinds) {
+            const key = `${version} ${kind}`;
+            this.localCounts.delete(key);
+            this.evaluators.delete(key);
+            this.evaluated.delete(`${key} settled`);
+            this.evaluated.set(key, this.reportedOutcomes(version, kind));
+        }
+    }
+
     /** Outcomes on this instance for the models whose requests are shared among several versions. */
     private rolloutCounts(): Count[] {
         const models = new Set(this.versionsInRollout().map(version => version.model));
@@ -169,15 +191,21 @@
 
     /** Outcomes of all instances since the last evaluation. */
     private newOutcomes(key: string, version: string, kind: BadOutcomeKind): OutcomeCount {
+        const sum = this.reportedOutcomes(version, kind);
+        const before = this.evaluated.get(key) ?? { total: 0, bad: 0 };
+        this.evaluated.set(key, sum);
+        return { total: Math.max(0, sum.total - before.total), bad: Math.max(0, sum.bad - before.bad) };
+    }
+
+    /** Outcomes that all instances have counted. */
+    private reportedOutcomes(version: string, kind: BadOutcomeKind): OutcomeCount {
         const sum = { total: 0, bad: 0 };
         for (const counts of this.reported.values()) {
             const count = counts.get(`${version} ${kind}`);
             sum.total += count?.total ?? 0;
             sum.bad += count?.bad ?? 0;
         }
-        const before = this.evaluated.get(key) ?? { total: 0, bad: 0 };
-        this.evaluated.set(key, sum);
-        return { total: Math.max(0, sum.total - before.total), bad: Math.max(0, sum.bad - before.bad) };
+        return sum;
     }
 
     private withdraw(version: ActiveVersion, settled: string, kind: BadOutcomeKind, evaluation: Evaluation): void {
