A response with a status that HTTP doesn't have reaches no caller

An engine in trouble answered with status 600 or 999, and callers got that status and the body as the answer, on each kind of route, with the engine's stamp; with the product's own interface, too, where such an answer's 'not run' was believed. Statuses 000, 099, 101, 199, 20 and 1000 were refused already, by the parser. Cause: any status from 500 on counted as an engine's own failure, which is relayed.

Such a response fails the attempt, whose run is unknown: callers get 502 unless the request may be repeated elsewhere. Nothing in it is believed, its connection is closed, and it counts against the engine and against its version in a roll-out, as an error response does.

--- a/src/node/dispatch/UpstreamClient.ts
+++ b/src/node/dispatch/UpstreamClient.ts
@@ -7,6 +7,7 @@
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { CONNECT_STEP } from "../../common/routing/Attempts.ts";
 import { type Upstream, type UpstreamRegistry } from "../../common/upstreams/UpstreamRegistry.ts";
+import { isFinalStatus } from "../http/ResponseIntegrity.ts";
 
 /** Header with the id of an attempt, which the upstream returns in its answer. */
 export const REQUEST_ID_HEADER = "x-request-id";
@@ -58,14 +59,22 @@
     /** Sends an attempt. Rejects with a `RouterError` whose `run` states whether the attempt may have run. */
     public async send(upstream: Upstream, req: UpstreamRequest): Promise<UpstreamAnswer> {
         const answer = await this.exchange(upstream, req);
+        if (!isFinalStatus(answer.statusCode)) {
+            discard(answer.body);
+            throw routerError(`the upstream's answer has the status ${answer.statusCode}`, {
+                code: "upstreamFailed",
+                run: "unknown",
+                step: "read answer",
+                peer: upstream.announcement.id,
+            });
+        }
         const echo = answer.headers[REQUEST_ID_HEADER];
         const isMatching = echo === req.attemptId || (echo === undefined && !req.requiresEcho);
         if (isMatching) {
             return { status: answer.statusCode, headers: answer.headers, body: answer.body };
         }
         this.discardedCount++;
-        answer.body.on("error", noop);
-        answer.body.destroy();
+        discard(answer.body);
         throw routerError("the upstream's answer does not carry the id of this request", {
             code: "answerMismatch",
             run: "unknown",
@@ -128,6 +137,11 @@
 
 const noop = (): void => undefined;
 
+const discard = (body: Readable): void => {
+    body.on("error", noop);
+    body.destroy();
+};
+
 /** Codes of errors before a connection was established: no byte of the request can have been sent. */
 const notConnectedCodes = new Set([
     "ECONNREFUSED",
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -10,6 +10,7 @@
 import { type ObservedRun } from "../../common/gateway/RunSamples.ts";
 import { findStall, type Stall } from "../../common/gateway/StallDetection.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
+import { isFinalStatus } from "../http/ResponseIntegrity.ts";
 import { attemptEnd, type AttemptFailure } from "./AttemptEnd.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
 import { type Call, type CallState, remainingMs } from "./Call.ts";
@@ -206,6 +207,11 @@
         if (this.isSuperseded) {
             return this.fail(this.supersededFailure);
         }
+        if (!isFinalStatus(raw.status)) {
+            // Counts against the version like a response of its own failure, but is none that could be relayed.
+            const message = `the response has the status ${raw.status}`;
+            return { ...this.fail({ ...unusableResponse, message }), isErrorResponse: true };
+        }
         this.recordProgress();
         stats.lastByteAt = deps.clock.monotonic();
         const head = deps.codec.readHead(raw.status, raw.headers);
