A response that breaks off is not taken for whole by the product's own client, nor if the request was still being written

The product's own interface took a response without length whose connection was reset for a complete one. A gateway process did not, but took for complete a success without length whose connection ended in order while the upload was still being written; and one whose connection this side had discarded. Cause: without keep-alive, undici treats every end of a connection as the end of its response, and only the gateway's transport looked at how the connection ended.

The check has a module of its own, which both transports use. An upstream that ends before it was sent the whole request has not said that its answer is whole, so a success then fails the attempt (502); other statuses, such as an early 413, are relayed as before. What the system has taken of the request counts as written.

--- a/addons/fakes/RouterSetup.ts
+++ b/addons/fakes/RouterSetup.ts
@@ -17,6 +17,7 @@
 import { RequestRouter, type RequestRouterDependencies } from "../../src/node/gateway/RequestRouter.ts";
 import { UpstreamAttempts, type UpstreamAttemptsDependencies } from "../../src/node/gateway/UpstreamAttempts.ts";
 import { Exchange, type ExchangeRequest } from "../../src/node/gateway/UpstreamConnections.ts";
+import { ConnectionEnds } from "../../src/node/http/ResponseIntegrity.ts";
 import { createLog } from "../../src/node/log/Log.ts";
 
 export const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
@@ -46,7 +47,7 @@
             pause: () => undefined,
             resume: () => undefined,
         } as unknown as Dispatcher.DispatchController;
-        this.exchange = new Exchange(() => clock.monotonic(), () => undefined, obstacle);
+        this.exchange = new Exchange(() => clock.monotonic(), new ConnectionEnds(), obstacle);
         if (isConnected) {
             this.exchange.handler.onRequestStart?.(this.controller, {});
         }
--- a/src/node/dispatch/UpstreamClient.test.ts
+++ b/src/node/dispatch/UpstreamClient.test.ts
@@ -8,6 +8,7 @@
 import { REQUEST_ID_HEADER, UpstreamClient } from "./UpstreamClient.ts";
 
 const BODY = "hello";
+const UPLOAD_BYTES = 24 * 1024 * 1024;
 const ID = `${REQUEST_ID_HEADER}: a-1\r\n`;
 
 /** Sends a request to an upstream that answers with these bytes; resolves with the status and the body. */
@@ -50,6 +51,8 @@
 };
 
 const keepOpen = (): void => undefined;
+const close = (socket: Socket): void => void socket.end();
+const reset = (socket: Socket): void => void socket.resetAndDestroy();
 
 // MIXED: HTTP has no such status, and the caller got it as the answer.
 for (const status of [600, 999]) {
@@ -61,3 +64,17 @@
         );
     });
 }
+
+// MIXED: an answer that broke off halfway reached the caller as a complete success.
+test("UpstreamClient: an answer without length that is reset is not whole, and one that ends in order is", async context => {
+    const answer = `HTTP/1.1 200 OK\r\n${ID}\r\n${BODY}`;
+    assert.equal(await send(context, answer, close), `200 ${BODY}`);
+    await assert.rejects(send(context, answer, reset));
+    await assert.rejects(send(context, answer, reset, UPLOAD_BYTES));
+});
+
+test("UpstreamClient: a success without length that ends before the request was written is not whole", async context => {
+    await assert.rejects(send(context, `HTTP/1.1 200 OK\r\n${ID}\r\n${BODY}`, close, UPLOAD_BYTES));
+    const refusal = `HTTP/1.1 413 Too Large\r\n${ID}\r\n${BODY}`;
+    assert.equal(await send(context, refusal, close, UPLOAD_BYTES), `413 ${BODY}`);
+});
--- a/src/node/dispatch/UpstreamClient.ts
+++ b/src/node/dispatch/UpstreamClient.ts
@@ -1,13 +1,14 @@
 /**
  * Sends the attempts of requests to upstreams. The error of a failed attempt states whether it may have run.
  */
+import { Socket } from "node:net";
 import { type Readable } from "node:stream";
-import { type Dispatcher as UndiciDispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher as UndiciDispatcher, Pool } from "undici";
 import { type RouterError, routerError, type RunState } from "../../common/errors/RouterError.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { CONNECT_STEP } from "../../common/routing/Attempts.ts";
 import { type Upstream, type UpstreamRegistry } from "../../common/upstreams/UpstreamRegistry.ts";
-import { isFinalStatus } from "../http/ResponseIntegrity.ts";
+import { ConnectionEnds, failTruncated, isFinalStatus } from "../http/ResponseIntegrity.ts";
 
 /** Header with the id of an attempt, which the upstream returns in its answer. */
 export const REQUEST_ID_HEADER = "x-request-id";
@@ -39,9 +40,15 @@
     readonly body: Readable;
 }
 
+interface UpstreamPool {
+    readonly pool: Pool;
+    /** Sends requests over the pool, and fails the responses that lack their end. */
+    readonly dispatcher: UndiciDispatcher;
+}
+
 /** HTTP client for upstreams, with one connection pool per process of an upstream. */
 export class UpstreamClient extends DisposableOwner {
-    private readonly pools = new WeakMap<Upstream, Pool>();
+    private readonly pools = new WeakMap<Upstream, UpstreamPool>();
     private readonly openPools = new Set<Pool>();
     private discardedCount = 0;
 
@@ -84,9 +91,9 @@
     }
 
     private async exchange(upstream: Upstream, req: UpstreamRequest): Promise<UndiciDispatcher.ResponseData> {
-        const pool = this.poolOf(upstream);
+        const { dispatcher } = this.poolOf(upstream);
         try {
-            return await pool.request({
+            return await dispatcher.request({
                 path: req.path,
                 method: req.method as UndiciDispatcher.HttpMethod,
                 headers: { ...req.headers, [REQUEST_ID_HEADER]: req.attemptId },
@@ -101,27 +108,40 @@
         }
     }
 
-    private poolOf(upstream: Upstream): Pool {
+    private poolOf(upstream: Upstream): UpstreamPool {
         const existing = this.pools.get(upstream);
         if (existing !== undefined) {
             return existing;
         }
         const { host, port } = upstream.announcement;
         const origin = host.includes(":") ? `http://[${host}]:${port}` : `http://${host}:${port}`;
+        const ends = new ConnectionEnds();
+        const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
         const pool = new Pool(origin, {
             pipelining: 1,
             connections: upstream.announcement.capacity,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            connect: (options, callback) =>
+                connect(options, (...result) => {
+                    const [, socket] = result;
+                    if (socket instanceof Socket) {
+                        ends.track(socket, false);
+                    }
+                    callback(...result);
+                }),
             keepAliveTimeout: KEEP_ALIVE_MS,
         });
-        this.pools.set(upstream, pool);
+        const dispatcher = pool.compose(dispatch => (options, handler) =>
+            dispatch(options, failTruncated(ends, handler))
+        );
+        const entry = { pool, dispatcher };
+        this.pools.set(upstream, entry);
         this.openPools.add(pool);
-        return pool;
+        return entry;
     }
 
     /** Lets requests in flight finish when the upstream leaves; on an expired upstream they fail on their own. */
     private close(upstream: Upstream): void {
-        const pool = this.pools.get(upstream);
+        const pool = this.pools.get(upstream)?.pool;
         if (pool !== undefined && this.openPools.delete(pool)) {
             pool.close().catch(noop);
         }
--- a/src/node/gateway/UpstreamConnections.test.ts
+++ b/src/node/gateway/UpstreamConnections.test.ts
@@ -7,6 +7,8 @@
 import { type Exchange, isFailure, UpstreamConnections } from "./UpstreamConnections.ts";
 
 const BODY = "hello";
+/** More than the buffers between two processes take. */
+const UPLOAD_BYTES = 24 * 1024 * 1024;
 
 interface Result {
     readonly body: string;
@@ -73,6 +75,34 @@
     assert.notEqual((await exchange(answer, reset)).failure, undefined);
 });
 
+// MIXED: the upstream may have ended in the middle of its answer, and the caller got the part as a complete one.
+test("UpstreamConnections: a success without length fails if it ends before the request was written", async context => {
+    const exchangeUnread = async (status: number): Promise<string | undefined> => {
+        const server = createServer({ pauseOnConnect: true, allowHalfOpen: true }, socket => {
+            socket.on("error", () => undefined);
+            setTimeout(() => socket.end(`HTTP/1.1 ${status} X\r\n\r\n${BODY}`), 50);
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const connections = createConnections();
+        context.after(() => {
+            connections.dispose();
+            server.close();
+        });
+        const { port } = server.address() as AddressInfo;
+        const body = Buffer.alloc(UPLOAD_BYTES);
+        const sent = connections.send("u 1", `127.0.0.1:${port}`, 2, { method: "POST", path: "/", headers: [], body });
+        for (;;) {
+            const chunk = await sent.readChunk();
+            if (chunk === undefined || isFailure(chunk)) {
+                return chunk?.message;
+            }
+        }
+    };
+    assert.notEqual(await exchangeUnread(200), undefined);
+    assert.equal(await exchangeUnread(413), undefined);
+});
+
 test("UpstreamConnections: a chunked response without its last chunk fails", async () => {
     for (const header of ["", "Connection: close\r\n"]) {
         const answer = `HTTP/1.1 200 OK\r\n${header}Transfer-Encoding: chunked\r\n\r\n5\r\n${BODY}\r\n`;
--- a/src/node/gateway/UpstreamConnections.ts
+++ b/src/node/gateway/UpstreamConnections.ts
@@ -8,6 +8,7 @@
 import { UpstreamPaths } from "../../common/gateway/UpstreamPaths.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
 import { type Clock } from "../../common/time/Clock.ts";
+import { ConnectionEnds } from "../http/ResponseIntegrity.ts";
 import { SilenceWatch } from "./SilenceWatch.ts";
 
 /** Time in which a connection must be established, in ms. */
@@ -54,14 +55,10 @@
     readonly headers: readonly string[];
 }
 
-/** How a connection of a pool is ending at the moment. */
-type Ending = "reset" | "closed" | undefined;
-
 interface PoolEntry {
     readonly pool: Pool;
     readonly address: string;
-    /** Set only while the listeners of an ending connection run. */
-    ending: Ending;
+    readonly ends: ConnectionEnds;
 }
 
 /** Errors of connections that the upstream closed or reset. */
@@ -83,12 +80,12 @@
     /** Resolves the promise of `waitForProgress`. */
     private resolveWait: (() => void) | undefined;
     private readonly now: () => number;
-    private readonly ending: () => Ending;
+    private readonly ends: ConnectionEnds;
     private readonly obstacle: ExchangeRequest["obstacle"];
 
-    public constructor(now: () => number, ending: () => Ending, obstacle: ExchangeRequest["obstacle"]) {
+    public constructor(now: () => number, ends: ConnectionEnds, obstacle: ExchangeRequest["obstacle"]) {
         this.now = now;
-        this.ending = ending;
+        this.ends = ends;
         this.obstacle = obstacle;
     }
 
@@ -185,16 +182,10 @@
         };
     }
 
-    /**
-     * Whether the response lacks its end. Without keep-alive, undici treats every end of the connection as the end of the
-     * response. That holds only for a response with neither a length nor chunked encoding, and only for an orderly close.
-     */
     private isTruncated(): boolean {
-        const ending = this.ending();
-        const isChunked =
-            this.rawHead?.headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "transfer-encoding")
-                ?? false;
-        return ending === "reset" || (ending === "closed" && isChunked);
+        const { status = 0, headers = [] } = this.rawHead ?? {};
+        const isChunked = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "transfer-encoding");
+        return this.ends.isTruncated(status, isChunked);
     }
 
     private fail(message: string, isClosedByUpstream: boolean): void {
@@ -281,7 +272,7 @@
     /** Sends a request to the upstream process `name` at `address` over a pool of at most `maxConnections`. */
     public send(name: string, address: string, maxConnections: number, req: ExchangeRequest): Exchange {
         const entry = this.getPool(name, address, maxConnections);
-        const exchange = new Exchange(this.now, () => entry.ending, req.obstacle);
+        const exchange = new Exchange(this.now, entry.ends, req.obstacle);
         this.silence.watch(address, exchange);
         entry.pool.dispatch(
             {
@@ -341,12 +332,13 @@
         if (existing !== undefined) {
             return existing;
         }
+        const ends = new ConnectionEnds();
         const pool = new Pool(`http://${address}`, {
             pipelining: 1,
             connections: maxConnections,
             connect: (...[, callback]) =>
                 void this.paths.dial(address).then(({ connection, relay }) => {
-                    trackSocketEnd(connection, entry, relay !== undefined);
+                    ends.track(connection, relay !== undefined);
                     // eslint-disable-next-line no-restricted-syntax -- undici's callback takes null
                     callback(null, connection);
                     // eslint-disable-next-line no-restricted-syntax -- the same
@@ -355,27 +347,12 @@
             keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
         });
-        const entry: PoolEntry = { pool, address, ending: undefined };
+        const entry = { pool, address, ends };
         this.pools.set(name, entry);
         return entry;
     }
 }
 
-/**
- * Records how a connection ends for undici's listeners, which run after these ones for the same event. The end of a
- * relayed connection may be that of the relay, so it counts as a reset.
- */
-const trackSocketEnd = (socket: Socket, entry: PoolEntry, isRelayed: boolean): void => {
-    const setEnding = (ending: Ending): void => {
-        entry.ending = ending;
-        process.nextTick(() => {
-            entry.ending = undefined;
-        });
-    };
-    socket.on("error", () => setEnding("reset"));
-    socket.on("end", () => setEnding(isRelayed ? "reset" : "closed"));
-};
-
 /** Errors while a discarded pool closes concern no request. */
 const ignore = (): void => undefined;
 
