An upstream that has started again at another address outlives the reuse of its earlier one

An engine started again under its id elsewhere and served, until an engine of another service started at its old address; from then on it got nothing, and its route answered 503. The old address went on standing for the id, so that a process that starts there seemed to replace the upstream, wherever it is by then.

A record gives up the address of the one that it replaces.

Test: UpstreamDirectory.test.ts, which failed before.

--- a/src/common/gateway/UpstreamDirectory.test.ts
+++ b/src/common/gateway/UpstreamDirectory.test.ts
@@ -122,3 +122,17 @@
     directory.merge(record({ seq: 4, coldMs: 2900 }), 0);
     assert.deepEqual(urgent, [false, false, true]);
 });
+
+// CONFIG: the address of the earlier process still stood for the upstream, which counted as replaced there.
+test("UpstreamDirectory: an upstream that has started again elsewhere outlives the reuse of its earlier address", () => {
+    const { directory } = create();
+    const moved = record({ start: 200, port: 9999 });
+    directory.merge(record({}), 0);
+    directory.merge(moved, 0);
+    directory.merge(record({ id: "u2", start: 300, service: "other" }), 0);
+    assert.equal(directory.get("u1")?.record.state, "ready");
+    assert.equal(directory.recordAt(`${moved.host}:${moved.port}`)?.id, "u1");
+    assert.equal(directory.recordAt(`${moved.host}:${record({}).port}`)?.id, "u2");
+    directory.merge(record({ id: "u3", start: 400, port: 9999 }), 0);
+    assert.equal(directory.get("u1")?.record.state, "gone");
+});
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -172,14 +172,19 @@
             if (now - entry.receivedAt > EVICT_AFTER_MS) {
                 this.entries.delete(id);
                 this.lastContentChange++;
-                const address = addressOf(entry.record);
-                if (this.byAddress.get(address) === id) {
-                    this.byAddress.delete(address);
-                }
+                this.releaseAddress(entry.record);
             }
         }
     }
 
+    /** To be called when a record isn't in use any more: its address may belong to another upstream from now on. */
+    private releaseAddress(record: UpstreamRecord): void {
+        const address = addressOf(record);
+        if (this.byAddress.get(address) === record.id) {
+            this.byAddress.delete(address);
+        }
+    }
+
     private entryAt(address: string, id: string): DirectoryEntry | undefined {
         const other = this.byAddress.get(address);
         const entry = other === undefined || other === id ? undefined : this.entries.get(other);
@@ -190,12 +195,16 @@
     private put(record: UpstreamRecord, receivedAt: number, isUrgent: boolean): void {
         this.lastChange++;
         this.lastContentChange++;
+        const previous = this.entries.get(record.id);
         this.entries.set(record.id, {
             record,
             receivedAt,
             lastChange: this.lastChange,
             lastContentChange: this.lastChange,
         });
+        if (previous !== undefined) {
+            this.releaseAddress(previous.record);
+        }
         if (record.state !== "gone") {
             this.byAddress.set(addressOf(record), record.id);
         }
