--- a/src/common/gateway/FleetState.test.ts
+++ b/src/common/gateway/FleetState.test.ts
@@ -95,6 +95,16 @@
     assert.equal(state.isOutdated(startCommand), true);
 });
 
+// Such an order could undo a later one: it doesn't tell what its receiver knew.
+test("FleetState: an order from an instance that doesn't know the feature level yet is outdated", () => {
+    const state = new FleetState();
+    state.apply({ kind: "raiseFeatureLevel", level: 1 }, 1);
+    assert.equal(state.isOutdated(startCommand), true);
+    assert.deepEqual(state.apply(startCommand, 2), { revision: 1, isOutdated: true });
+    state.apply({ ...startCommand, newestKnownId: 0 }, 3);
+    assert.equal(state.isOutdated(startCommand), false);
+});
+
 test("FleetState: the list of roll-outs doesn't grow without end, and keeps the version in use", () => {
     const state = new FleetState();
     state.apply({ ...startCommand, newestKnownId: 0 }, 1);
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -180,16 +180,19 @@
 };
 
 /**
- * Whether an order must not take effect, as another roll-out has started after it was given. At feature level 0 a service
- * can't be rolled out again to a version that was a target before: the order would be confirmed without effect.
+ * Whether an order must not take effect, as another roll-out has started after it was given, or may have: an instance that
+ * has just started doesn't know the feature level. At level 0 a service can't be rolled out again to a version that was a
+ * target before: the order would be confirmed without effect.
  */
 const isOutdatedRollout = (fleet: Fleet, { service, target, newestKnownId }: StartRolloutCommand): boolean => {
     if (isInForce(fleet, service, target)) {
         return false;
     }
-    return newestKnownId === undefined
-        ? fleet.rollouts.some(rollout => rollout.service === service && rollout.target === target)
-        : (latestRollout(fleet, service)?.id ?? 0) !== newestKnownId;
+    if (newestKnownId === undefined) {
+        const isTarget = fleet.rollouts.some(rollout => rollout.service === service && rollout.target === target);
+        return isTarget || fleet.featureLevel > 0;
+    }
+    return (latestRollout(fleet, service)?.id ?? 0) !== newestKnownId;
 };
 
 const startRollout = (fleet: Fleet, command: StartRolloutCommand, index: number): Fleet => {
