A refusal that names no request is not believed where the request may run once only

A faulty engine sends bytes behind a complete answer that look like a refusal and name no request; if the next booking is on the connection by then, it counted as refused and went to a second engine, while the first one ran it. Cause: a refusal without Request-Id was taken for one of the request at hand.

Such a refusal fails the attempt of a request that may not be repeated (502); for others it is believed, since a mistake costs one repeat. What is read from the head of a response has a module of its own, and whether a route's requests may run again is told by one function.

--- a/src/common/gateway/GatewayConfig.ts
+++ b/src/common/gateway/GatewayConfig.ts
@@ -39,6 +39,10 @@
     readonly isResumable: boolean;
 }
 
+/** Whether a request on the route may run more than once; all others run once at most. */
+export const isRepeatable = ({ kind, isResumable }: Pick<Route, "kind" | "isResumable">): boolean =>
+    kind === "idempotent" || (kind === "stream" && isResumable);
+
 /** A model that a service offers. */
 export interface ModelOffer {
     readonly name: string;
--- a/src/common/gateway/StallDetection.ts
+++ b/src/common/gateway/StallDetection.ts
@@ -9,7 +9,7 @@
  * deadline of its request has passed, the caller has left, or its upstream has restarted (`Attempt`); an instance that stops
  * has used up its grace period (`PlannedStop`).
  */
-import { type Route } from "./GatewayConfig.ts";
+import { isRepeatable, type Route } from "./GatewayConfig.ts";
 
 /** A stream has stalled after this multiple of the route's longest gap, but not before the minimum. */
 const STALL_FACTOR = 1.2;
@@ -56,9 +56,8 @@
     if (route.kind === "idempotent" && idleMs > Math.max(MIN_SLOW_MS, route.objectiveMs * SLOW_FACTOR)) {
         return "slow";
     }
-    const isRepeatable = route.kind === "idempotent" || route.isResumable;
     const isTrafficMissing = Math.min(idleMs, upstreamIdleMs) > TRAFFIC_TIMEOUT_MS;
-    return isRepeatable && isTrafficMissing && heartbeatAgeMs > HEARTBEAT_TIMEOUT_MS ? "silent" : undefined;
+    return isRepeatable(route) && isTrafficMissing && heartbeatAgeMs > HEARTBEAT_TIMEOUT_MS ? "silent" : undefined;
 };
 
 const isStalled = ({ route, hasBegun, idleMs, upstreamIdleMs }: AttemptActivity): boolean => {
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -14,6 +14,7 @@
 import { attemptEnd, type AttemptFailure } from "./AttemptEnd.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
 import { type Call, type CallState, remainingMs } from "./Call.ts";
+import { findHeadFault, isOwnRefusal } from "./ResponseHeadCheck.ts";
 import { type AttemptDependencies } from "./UpstreamAttempts.ts";
 import { type Exchange, type ExchangeFailure, isFailure } from "./UpstreamConnections.ts";
 import { CHUNK_OVERHEAD_BYTES, readWholeBody, unusableResponse } from "./WholeBody.ts";
@@ -219,15 +220,12 @@
             deps.upstreamStats.recordLoad(name, stats, this.call.service.name, head.load);
         }
         this.reportStatement(head);
-        // A refusal of another request may come late, on a connection in use again.
-        if (head.isNotRun && (head.requestId ?? this.call.req.id) === this.call.req.id) {
+        if (isOwnRefusal(head, this.call)) {
             return this.handleNotRun(head);
         }
-        if (head.requestId !== this.call.req.id || !head.hasStamp || head.isEncoded) {
-            return this.fail({
-                ...unusableResponse,
-                message: "the response has another request id, no stamp or an unexpected encoding",
-            });
+        const message = findHeadFault(head, this.call);
+        if (message !== undefined) {
+            return this.fail({ ...unusableResponse, message });
         }
         const { call } = this;
         const isStream = call.route.kind === "stream" && isSuccess(head.status);
--- a/src/node/gateway/RequestRouter.ts
+++ b/src/node/gateway/RequestRouter.ts
@@ -5,6 +5,7 @@
  */
 import { type CallKeys } from "../../common/gateway/CallKeys.ts";
 import { type ExchangeCodec, type UpstreamLoad } from "../../common/gateway/ExchangeCodec.ts";
+import { isRepeatable } from "../../common/gateway/GatewayConfig.ts";
 import { type ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
 import { DisposableOwner } from "../../common/lifecycle/Disposable.ts";
@@ -274,9 +275,8 @@
     /** Whether the request may run once more although it has run, or is running. */
     private mayRunAgain(call: Call, state: CallState): boolean {
         const { route, keys } = call;
-        const isRepeatable = route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
         const hasResumePoint = !call.reply.hasBegun || state.lastEventId !== undefined;
-        return isRepeatable && hasResumePoint && hasRunsLeft(call, state) && !this.deps.isQuarantined(keys);
+        return isRepeatable(route) && hasResumePoint && hasRunsLeft(call, state) && !this.deps.isQuarantined(keys);
     }
 
     /** Ends a request that failed: breaks off a begun response, relays the 5xx response, or sends an error. */
