A stream that may not be resumed is not asked of a larger model once it has run

On a route with sizes, a stream that may not be resumed ran once more on the larger model after an answer of low confidence. Cause: the choice of the next model looked at runs left and budget, but not at whether the request may run again; the answer that is dropped has run. Only repeatable requests are escalated.

Test: ModelChoice.test.ts, which failed before.

--- a/src/node/gateway/ModelChoice.ts
+++ b/src/node/gateway/ModelChoice.ts
@@ -3,6 +3,7 @@
  * their slowdown are served by expected value, all others by confidence and the latency objective alone.
  */
 import { type ResponseHead } from "../../common/gateway/ExchangeCodec.ts";
+import { isRepeatable } from "../../common/gateway/GatewayConfig.ts";
 import { ModelChooser, type ModelRequest } from "../../common/gateway/ModelChooser.ts";
 import { ModelEscalator } from "../../common/gateway/ModelEscalator.ts";
 import { type ServiceRetryBudget } from "../../common/gateway/ServiceRetryBudget.ts";
@@ -62,8 +63,8 @@
             const isReplacement = state.modelIndexes.some(index => index < model);
             this.chooser.recordAnswer(this.requestOf(call), model, confidence, latencyMs, isReplacement);
         }
-        // While a backup attempt runs, the first answer is kept.
-        const mayReplace = state.attempts.size === 1 && hasRunsLeft(call, state);
+        // While a backup attempt runs, the first answer is kept. The larger model's answer is one more run.
+        const mayReplace = state.attempts.size === 1 && isRepeatable(route) && hasRunsLeft(call, state);
         if (call.reply.hasBegun || call.req.resumeAfter !== undefined || !mayReplace) {
             return undefined;
         }
