--- a/src/node/gateway/GatewayProcess.ts
+++ b/src/node/gateway/GatewayProcess.ts
@@ -222,6 +222,10 @@
                 help: "Revisions that were in force and that the control log lacks; any is a loss.",
                 read: () => control?.lossCounts.lostRevisions ?? 0,
             },
+            feature_level: {
+                help: "Feature level of the fleet; below the newest one, instances of earlier builds are in service.",
+                read: () => control?.fleet.featureLevel ?? 0,
+            },
             // Holds the confirmation age.
             proof_age_ms: {
                 help: "Age of the proof that the configuration is in force.",
