A roll-out's time counts from the commit of its order, not from the next look

The controller looks at the fleet whenever it changes. Test: RolloutController.test.ts, 'a roll-out is completed at the first check after its time', which failed without it.

--- a/src/common/gateway/RolloutController.test.ts
+++ b/src/common/gateway/RolloutController.test.ts
@@ -56,7 +56,7 @@
             }, 0)
         );
         this.register(state.onChanged(({ rollouts }) => counters.startRollouts(rollouts, clock.boottime())));
-        this.register(
+        const controller = this.register(
             new RolloutController({
                 clock,
                 isLeader: () => true,
@@ -69,6 +69,7 @@
                 onStep: () => undefined,
             }),
         );
+        this.register(state.onChanged(() => controller.observe()));
         this.register(repeat(clock, REQUEST_INTERVAL_MS, () => this.serve()));
     }
 
@@ -217,6 +218,15 @@
         }));
 }
 
+// The duty of a good version: half a second is left for the last check and for the commit.
+test("a roll-out is completed at the first check after its time, whenever it was ordered between two checks", () =>
+    withDeployment(["v1", "v2"], async deployment => {
+        await deployment.run(1);
+        deployment.order("v2");
+        await deployment.run(DURATION_MS - 300);
+        assert.equal(deployment.outcome, "completed v2");
+    }));
+
 test("an instance that was cut off when a roll-out was ordered takes it for no older than that cut", () =>
     withDeployment(["v1", "v2"], async deployment => {
         deployment.confirmationAgeMs = DURATION_MS;
--- a/src/common/gateway/RolloutController.ts
+++ b/src/common/gateway/RolloutController.ts
@@ -46,6 +46,11 @@
         this.register(repeat(deps.clock, CHECK_INTERVAL_MS, () => this.tick()));
     }
 
+    /** To be called when the fleet has changed: the time of a roll-out counts from when this instance learns of it. */
+    public observe(): void {
+        this.deps.fleet().rollouts.forEach(rollout => this.elapsedOf(rollout));
+    }
+
     private tick(): void {
         const { clock, fleet, confirmationAgeMs } = this.deps;
         const { rollouts } = fleet();
--- a/src/node/gateway/GatewayControlRole.ts
+++ b/src/node/gateway/GatewayControlRole.ts
@@ -79,6 +79,7 @@
     private readonly statements: UpstreamStatements;
     private readonly follower: FleetFollower;
     private readonly publisher: FleetPublisher;
+    private readonly rollouts: RolloutController;
     private readonly rolloutOrders: RolloutOrders;
     private readonly featureLevelUpgrade: FeatureLevelUpgrade;
     private readonly monitor: ControlLogMonitor;
@@ -123,7 +124,7 @@
             }),
         );
         this.client = new ControlClient(clock, network, this.controlLog, () => this.proposalTargets());
-        this.register(
+        this.rollouts = this.register(
             new RolloutController({
                 clock,
                 directory: this.directory,
@@ -349,8 +350,12 @@
             return this.publisher.watch(req, from);
         }));
         this.register(network.handle("fetchFleet", () => ({ fleet: this.fleet })));
-        this.register(this.state.onChanged(() => this.publisher.flush()));
-        this.register(this.follower.onFleetChanged(() => this.publisher.flush()));
+        for (const onChanged of [this.state.onChanged, this.follower.onFleetChanged]) {
+            this.register(onChanged(() => {
+                this.rollouts.observe();
+                this.publisher.flush();
+            }));
+        }
         this.register(logReachability(this.follower, log));
         this.register(repeat(clock, EVICTION_PERIOD_MS, () => {
             this.directory.evictStale();
