--- a/src/common/gateway/FleetPublisher.ts
+++ b/src/common/gateway/FleetPublisher.ts
@@ -110,12 +110,7 @@
 
     /** Feature level that each instance supports which has called lately, by id. */
     public get supportedLevels(): ReadonlyMap<string, number> {
-        const oldest = this.deps.clock.monotonic() - ENTRY_TIMEOUT_MS;
-        return new Map(
-            [...this.followers]
-                .filter(([, { lastCallAt }]) => lastCallAt > oldest)
-                .map(([id, { featureLevel }]) => [id, featureLevel]),
-        );
+        return new Map(this.recentFollowers.map(([id, { featureLevel }]) => [id, featureLevel]));
     }
 
     /** Re-evaluates all held calls. To be called after the fleet state has changed. */
@@ -233,10 +228,12 @@
 
     /** The entry instances that have called lately, by id. */
     private get followersInService(): Map<string, Follower> {
+        return new Map(this.recentFollowers.filter(([, { role }]) => role === "entry"));
+    }
+
+    private get recentFollowers(): [string, Follower][] {
         const oldest = this.deps.clock.monotonic() - ENTRY_TIMEOUT_MS;
-        return new Map(
-            [...this.followers].filter(([, { role, lastCallAt }]) => role === "entry" && lastCallAt > oldest),
-        );
+        return [...this.followers].filter(([, { lastCallAt }]) => lastCallAt > oldest);
     }
 
     private updateEntryIds(ids: readonly string[]): void {
--- a/src/common/gateway/FleetState.ts
+++ b/src/common/gateway/FleetState.ts
@@ -247,6 +247,21 @@
 export const versionInUse = ({ rollouts }: Fleet, service: string): string | undefined =>
     latestCompleted(rollouts, service)?.target;
 
+/**
+ * Tells which versions of a service may be in use, apart from the target of a running roll-out. Until a roll-out is
+ * completed, it may be any version that was not rolled back.
+ */
+export const mayBeInUse = (fleet: Fleet, service: string): (version: string) => boolean => {
+    const inUse = versionInUse(fleet, service);
+    if (inUse !== undefined) {
+        return version => version === inUse;
+    }
+    return version =>
+        !fleet.rollouts.some(rollout =>
+            rollout.service === service && rollout.target === version && rollout.state === "rolledBack"
+        );
+};
+
 const latestCompleted = (rollouts: readonly Rollout[], service: string): Rollout | undefined =>
     rollouts.findLast(rollout => rollout.service === service && rollout.state === "completed");
 
--- a/src/common/gateway/RolloutController.test.ts
+++ b/src/common/gateway/RolloutController.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandom } from "../../../addons/fakes/SeededRandom.ts";
+import { createUpstreamRecord } from "../../../addons/fakes/UpstreamRecords.ts";
 import { DisposableOwner } from "../lifecycle/Disposable.ts";
 import { repeat } from "../time/Clock.ts";
 import { ManualClock } from "../time/ManualClock.ts";
@@ -41,19 +42,7 @@
         const directory = new UpstreamDirectory(clock);
         const sessions = new SessionVersions(clock, 0);
         versions.forEach((version, port) =>
-            directory.merge({
-                id: version,
-                start: 1,
-                seq: 1,
-                service: SERVICE,
-                host: "10.0.0.1",
-                port,
-                domain: "a",
-                version,
-                slots: 4,
-                state: "ready",
-                coldMs: 0,
-            }, 0)
+            directory.merge(createUpstreamRecord({ id: version, service: SERVICE, port, version }), 0)
         );
         this.register(state.onChanged(({ rollouts }) => counters.startRollouts(rollouts, clock.boottime())));
         const controller = this.register(
--- a/src/common/gateway/RolloutController.ts
+++ b/src/common/gateway/RolloutController.ts
@@ -101,12 +101,9 @@
     }
 
     private hasReadyTarget({ service, target }: Rollout): boolean {
-        for (const { record } of this.deps.directory.all()) {
-            if (record.service === service && record.version === target && record.state === "ready") {
-                return true;
-            }
-        }
-        return false;
+        return this.deps.directory.some(record =>
+            record.service === service && record.version === target && record.state === "ready"
+        );
     }
 }
 
--- a/src/common/gateway/RolloutOrders.ts
+++ b/src/common/gateway/RolloutOrders.ts
@@ -28,7 +28,7 @@
     readonly repeatMs: number;
 }
 
-interface KnownRollout extends Pick<Rollout, "id" | "service" | "target"> {
+interface KnownRollout extends Pick<Rollout, "id"> {
     /** Reading of `runningMs` when this instance learned of it. */
     readonly since: number;
 }
@@ -60,7 +60,7 @@
         }
         this.check();
         const { service, target } = order;
-        const remainingMs = this.repeatableUntil(order) - this.runningMs;
+        const remainingMs = this.repeatableUntil(keyOf(order)) - this.runningMs;
         if (!isInForce(fleet, service, target) && remainingMs > 0) {
             throw routerError(`the order may repeat an earlier one to roll out ${service} ${target}`, {
                 code: "repetitionUnclear",
@@ -71,9 +71,9 @@
         return { ...order, newestKnownId: latestRollout(fleet, service)?.id ?? 0 };
     }
 
-    /** Reading of `runningMs` up to which a copy of the order for this version may come. */
-    private repeatableUntil(order: Pick<Rollout, "service" | "target">): number {
-        const known = this.known.get(keyOf(order));
+    /** Reading of `runningMs` up to which a copy of the order for a service and target may come. */
+    private repeatableUntil(key: string): number {
+        const known = this.known.get(key);
         return known === undefined ? -Infinity : known.since + this.deps.repeatMs + DELIVERY_MS;
     }
 
@@ -83,15 +83,15 @@
         this.checkedAt = now;
         const { rollouts } = this.deps.fleet();
         for (const rollout of rollouts) {
-            const known = this.known.get(keyOf(rollout));
+            const key = keyOf(rollout);
+            const known = this.known.get(key);
             if (known === undefined || known.id !== rollout.id) {
-                const { id, service, target } = rollout;
-                this.known.set(keyOf(rollout), { id, service, target, since: this.runningMs });
+                this.known.set(key, { id: rollout.id, since: this.runningMs });
             }
         }
         const kept = new Set(rollouts.map(keyOf));
-        for (const [key, known] of this.known) {
-            if (!kept.has(key) && this.repeatableUntil(known) < this.runningMs) {
+        for (const key of this.known.keys()) {
+            if (!kept.has(key) && this.repeatableUntil(key) < this.runningMs) {
                 this.known.delete(key);
             }
         }
--- a/src/common/gateway/RolloutPlan.ts
+++ b/src/common/gateway/RolloutPlan.ts
@@ -6,7 +6,7 @@
  * Therefore all sessions move so late that even a bad version that is never detected stays within its exposure limit
  * over the whole roll-out.
  */
-import { type Fleet, type Rollout, versionInUse } from "./FleetState.ts";
+import { type Fleet, mayBeInUse, type Rollout } from "./FleetState.ts";
 import { type RouteOutcomeCounts } from "./OutcomeCounters.ts";
 import { countFrom, countTimes, outlierBucket, sumHistograms } from "./TimeHistogram.ts";
 
@@ -77,13 +77,7 @@
     { id, service, target }: Rollout,
     counts: readonly RouteOutcomeCounts[],
 ): RouteOutcomeCounts[] => {
-    const inUse = versionInUse(fleet, service);
-    const isBaseline = (version: string): boolean =>
-        inUse === undefined
-            ? !fleet.rollouts.some(other =>
-                other.service === service && other.target === version && other.state === "rolledBack"
-            )
-            : version === inUse;
+    const isBaseline = mayBeInUse(fleet, service);
     return counts.filter(count =>
         count.service === service
         && (count.version === target ? id === undefined || count.rollout === id : isBaseline(count.version))
--- a/src/common/gateway/UpstreamDirectory.ts
+++ b/src/common/gateway/UpstreamDirectory.ts
@@ -76,7 +76,17 @@
 
     /** Whether an upstream of the service is ready. */
     public hasReady(service: string): boolean {
-        return [...this.entries.values()].some(({ record }) => record.service === service && record.state === "ready");
+        return this.some(record => record.service === service && record.state === "ready");
+    }
+
+    /** Whether `isWanted` is true of a record, those of upstreams that are gone included. */
+    public some(isWanted: (record: UpstreamRecord) => boolean): boolean {
+        for (const { record } of this.entries.values()) {
+            if (isWanted(record)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Record of the process that listens at the address, IP:PORT; undefined if none does, or it is gone. */
--- a/src/common/gateway/UpstreamSelector.ts
+++ b/src/common/gateway/UpstreamSelector.ts
@@ -123,12 +123,7 @@
 
     /** Whether the service has, or had within the last half minute, an upstream with a version for which `isWanted` is true. */
     public hasVersion(service: string, isWanted: (version: string) => boolean): boolean {
-        for (const { record } of this.deps.directory.all()) {
-            if (record.service === service && isWanted(record.version)) {
-                return true;
-            }
-        }
-        return false;
+        return this.deps.directory.some(record => record.service === service && isWanted(record.version));
     }
 
     /** Returns the best upstream that may take the request now; undefined when there is none. */
--- a/src/common/gateway/VersionRule.ts
+++ b/src/common/gateway/VersionRule.ts
@@ -3,7 +3,7 @@
  * session keeps its version in the canary phase and moves to the new version together with all others.
  */
 import { hashFraction } from "../routing/Hash.ts";
-import { type Fleet, latestRollout, versionInUse } from "./FleetState.ts";
+import { type Fleet, latestRollout, mayBeInUse, versionInUse } from "./FleetState.ts";
 
 /** Versions for one request. */
 export interface VersionRule {
@@ -58,13 +58,7 @@
     history: SessionHistory,
     hasUpstream: (isWanted: (version: string) => boolean) => boolean = () => true,
 ): VersionRule => {
-    const inUse = versionInUse(fleet, service);
-    const rolledBack = fleet.rollouts
-        .filter(rollout => rollout.service === service && rollout.state === "rolledBack")
-        .map(rollout => rollout.target);
-    /** Until a roll-out is completed, any version that was not rolled back may be the one in use. */
-    const isInUse = (version: string): boolean =>
-        inUse === undefined ? !rolledBack.includes(version) : version === inUse;
+    const isInUse = mayBeInUse(fleet, service);
     const rollout = latestRollout(fleet, service);
     if (rollout === undefined || rollout.state !== "running") {
         return { isPreferred: isInUse, isAllowed: isInUse };
@@ -72,7 +66,7 @@
     const { target, share } = rollout;
     const isTarget = (version: string): boolean => version === target;
     const isPrevious = (version: string): boolean => version !== target && isInUse(version);
-    if (inUse === undefined && !hasUpstream(isPrevious)) {
+    if (versionInUse(fleet, service) === undefined && !hasUpstream(isPrevious)) {
         // The target is the version in use already.
         return { isPreferred: isTarget, isAllowed: isTarget };
     }
--- a/src/node/gateway/Attempt.ts
+++ b/src/node/gateway/Attempt.ts
@@ -10,7 +10,7 @@
 import { type ObservedRun } from "../../common/gateway/RunSamples.ts";
 import { findStall, type Stall } from "../../common/gateway/StallDetection.ts";
 import { type Selection } from "../../common/gateway/UpstreamSelector.ts";
-import { isFinalStatus } from "../http/ResponseIntegrity.ts";
+import { isFinalStatus, isSuccess } from "../http/ResponseIntegrity.ts";
 import { attemptEnd, type AttemptFailure } from "./AttemptEnd.ts";
 import { type AttemptTarget } from "./AttemptTargets.ts";
 import { type Call, type CallState, remainingMs } from "./Call.ts";
@@ -444,5 +444,3 @@
         deps.onResponse(call, selection, deps.clock.monotonic() - this.sentAt);
     }
 }
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
--- a/src/node/http/ResponseIntegrity.ts
+++ b/src/node/http/ResponseIntegrity.ts
@@ -13,7 +13,8 @@
 /** Whether a response may end with this status. HTTP has none above 599. */
 export const isFinalStatus = (status: number): boolean => status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
 
-const isSuccess = (status: number): boolean => status >= FIRST_FINAL_STATUS && status < FIRST_REDIRECT;
+/** Whether the status is one of success. */
+export const isSuccess = (status: number): boolean => status >= FIRST_FINAL_STATUS && status < FIRST_REDIRECT;
 
 /** `closedEarly`: an orderly close before the request was written. */
 type ConnectionEnd = "reset" | "closed" | "closedEarly";
