--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -10,6 +10,8 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
+process.setMaxListeners(0);
+
 const root = fileURLToPath(new URL("../..", import.meta.url));
 /** Bounds of `ghor-fleet` in SYSTEM.md. */
 const bounds = {
@@ -193,6 +195,7 @@
         child.stderr.pipe(output, { end: false });
         machine.child = child;
         machine.isRunning = true;
+        process.once("exit", () => child.kill("SIGKILL"));
         child.once("exit", (code, signal) => {
             machine.isRunning = false;
             this.note(`process of ${name} ended`, { code, signal });
--- a/review/stand-ins-3/record.mjs
+++ b/review/stand-ins-3/record.mjs
@@ -30,6 +30,9 @@
     record.note("the case begins", { trouble: hasTrouble });
     const cleanUps = [];
     let code = 2;
+    for (const signal of ["SIGTERM", "SIGINT"]) {
+        process.once(signal, () => process.exit(code));
+    }
     const limit = new Promise((...[, reject]) => {
         setTimeout(() => reject(new Error("the case takes too long")), limitMs);
     });
