--- a/review/11/play.mjs
+++ b/review/11/play.mjs
@@ -15,12 +15,14 @@
 const STORM_GAP_MS = 80;
 /** Routes added by three `big_config` of ghor-fleet. */
 const ROUTES = 3 * 350;
-/** `ack_ms` of ghor-fleet. */
-const ACK_MS = 4000;
+/** From the rule Acks: `ack_ms` of ghor-fleet, and 3 ms more for each route. */
+const ACK_MS = 4000 + 3 * ROUTES;
+/** How long the operator waits for one answer, in ms: more than a second, as the body is large. */
+const ANSWER_MS = 3000;
 /** `contact_ms` of ghor-fleet. */
 const CONTACT_MS = 3000;
 /** How long the operator goes on after a missing confirmation, to see whether there ever is one, in ms. */
-const PATIENCE_MS = 20_000;
+const PATIENCE_MS = 15_000;
 
 const manifestOf = version =>
     JSON.stringify({
@@ -60,7 +62,7 @@
         for (let attempt = Math.floor(Math.random() * CORES); Date.now() < startedAt + limitMs; attempt++) {
             const { controlAddresses } = this.deployment;
             const address = controlAddresses[attempt % controlAddresses.length];
-            const { status, text: reason } = await call(address, "PUT", "/api/config", text);
+            const { status, text: reason } = await call(address, "PUT", "/api/config", text, ANSWER_MS);
             if (status === 200) {
                 this.confirmed = Math.max(this.confirmed, version);
                 this.note("confirmed", { version, by: address, ms: Date.now() - startedAt });
@@ -83,7 +85,7 @@
     /** The versions that the control instances return. */
     async read() {
         const answers = await Promise.all(
-            this.deployment.controlAddresses.map(address => call(address, "GET", "/api/config")),
+            this.deployment.controlAddresses.map(address => call(address, "GET", "/api/config", undefined, ANSWER_MS)),
         );
         return answers.map(({ status, text }) => status === 200 ? JSON.parse(text).version : status);
     }
@@ -115,8 +117,14 @@
         // A confirmation that is only late may be due to the load of this machine, so it isn't counted.
         if (!isConfirmed && !await operator.change(PATIENCE_MS)) {
             const { confirmed } = operator;
-            const [read, isEntryReady] = [await operator.read(), await deployment.isReady(deployment.fronts[0])];
-            return [{ rule: "Acks", round, confirmed, read, isEntryReady }];
+            const broken = [{ rule: "Acks", round, confirmed }];
+            // From the rule CONFIG: the manifest is read back for at least `contact_ms`.
+            const reads = [];
+            for (const end = Date.now() + CONTACT_MS; Date.now() < end; await sleep(500)) {
+                reads.push(...await operator.read());
+            }
+            note("read back", { round, confirmed, reads });
+            return reads.some(version => version >= confirmed) ? broken : [...broken, { rule: "CONFIG", confirmed, reads }];
         }
     }
     return [];
