--- a/review/11/play.mjs
+++ b/review/11/play.mjs
@@ -87,7 +87,7 @@
         const answers = await Promise.all(
             this.deployment.controlAddresses.map(address => call(address, "GET", "/api/config", undefined, ANSWER_MS)),
         );
-        return answers.map(({ status, text }) => status === 200 ? JSON.parse(text).version : status);
+        return answers.map(({ status, text }) => status === 200 ? JSON.parse(text).version : `status ${status}`);
     }
 }
 
